--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -225,7 +225,7 @@
         self.totals: dict[str, float] = {}
         self.counter = Fake(lambda seen: adding(seen, self.totals))
         self.process: asyncio.subprocess.Process | None = None
-        self.port = 0
+        self.port = self.ops_port = 0
         self.log: list[str] = []
 
     async def __aenter__(self) -> Rig:
@@ -243,7 +243,7 @@
             "name": "n0", "listen": f"{LOOP}:{self.port}", "discovery": f"{LOOP}:{self.directory.fake.port}",
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, **self.limits},
-            "counter": f"{LOOP}:{self.counter.port}",
+            "counter": f"{LOOP}:{self.counter.port}", "ops": f"{LOOP}:0",
             "known": {"generation": 0, "reset": True, "instances": []},
             "settings": {
                 "grades": GRADES, "packages": PACKAGES, "fleet_size": 1, "me": 0, "zone": "a", "tick_ms": 4.0,
@@ -258,6 +258,8 @@
                  "ROUTER_DISCOVERY": self.config["discovery"]})
         while "listening on" not in (line := (await self.process.stderr.readline()).decode()):
             assert line, "the program ended at its start"
+            if "operators' address" in line:
+                self.ops_port = int(line.rsplit(":", 1)[1])
         self.port = int(line.rsplit(":", 1)[1])
         if "sockets" in self.limits:
             resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (self.limits["sockets"],) * 2)
@@ -287,6 +289,20 @@
         finally:
             writer.close()
 
+    async def ops(self, path: str) -> Seen:
+        """One call to the operators' address."""
+        reader, writer = await asyncio.open_connection(LOOP, self.ops_port)
+        writer.write(f"GET {path} HTTP/1.1\r\nHost: ops\r\n\r\n".encode())
+        try:
+            return await read_message(reader, writer)
+        finally:
+            writer.close()
+
+    async def figures(self) -> dict[str, float]:
+        """The figures by name, label included."""
+        lines = (await self.ops("/ops/stats")).body.decode().splitlines()
+        return {name: float(value) for name, _, value in (line.rpartition(" ") for line in lines)}
+
     async def status(self, data: bytes) -> int:
         return int((await self.ask(data)).line.split()[1])
 
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -197,7 +197,8 @@
     async def scenario() -> None:
         host = await Fake(lambda seen: reply(b"served")).start()
         ended: asyncio.Queue[str] = asyncio.Queue()
-        hosts = Hosts(BreakingLoop(1), 8, 250, 15000, lambda attempt, result, reply: ended.put_nowait(result))
+        hosts = Hosts(BreakingLoop(1), 8, 250, 15000, lambda attempt, result, reply: ended.put_nowait(result),
+                      lambda: None)
         hosts.update({"s-0": (LOOP, host.port)}, set())
         for result in (api.CONNECT_FAILED, api.OK):
             hosts.send(Attempt("r1", 0, "s-0", an_order().head + b"\r\n", 0.0), 60)
@@ -211,7 +212,7 @@
     async def scenario() -> None:
         ended: list[str] = []
         hosts = Hosts(asyncio.get_running_loop(), 0, 250, 15000,
-                      lambda attempt, result, reply: ended.append(result))
+                      lambda attempt, result, reply: ended.append(result), lambda: None)
         hosts.update({"s-0": (LOOP, 1)}, set())
         hosts.send(Attempt("r1", 0, "s-0", b"", 0.0), 60)
         assert ended == [api.MOOT]
--- /dev/null
+++ b/tests/test_ops.py
@@ -0,0 +1,104 @@
+"""The operators' address: readiness, figures that are true, and callers who never finish."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from pathlib import Path
+
+import pytest
+from conftest import LOOP, Rig, Seen, message, of, on_loop, read_message, reply
+
+from yewstage import interface as api
+from yewstage.net import ops as ops_module
+from yewstage.net.ops import Ops
+from yewstage.net.stats import Stats
+from yewstage.policy import Gateway
+
+
+def behave(seen: Seen) -> bytes | None:
+    """A host that serves reads, fails payments and never answers what is put."""
+    if seen.line.startswith("GET"):
+        return reply(b"ok")
+    return None if "idempotency-key" in seen.headers else reply(status=500)
+
+
+def test_figures_count_what_clients_saw(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, behave) as rig:
+            figures = await rig.figures()
+            for kind in ("fulfilled", "throttled", "faulted"):
+                for name in ("read", "put", "pay"):
+                    assert figures[f'gateway_{kind}_total{{priority="{name}"}}'] == 0
+            assert figures["gateway_registry_entries"] == 1 and figures["gateway_out_of_rotation"] == 0
+            for _ in range(3):
+                assert await rig.status(message()) == 200
+            assert await rig.status(message("pay", key=False)) == 502
+            small = [await rig.status(message(plan="small")) for _ in range(6)]
+            reader, writer = await rig.connect()
+            writer.write(message("put"))
+            await rig.hosts[0].until(lambda fake: any("idempotency-key" in s.headers for s in fake.seen))
+            figures = await rig.figures()
+            assert figures['gateway_fulfilled_total{priority="read"}'] == 3 + small.count(200)
+            assert figures['gateway_throttled_total{priority="read"}'] == small.count(503) > 0
+            assert figures['gateway_faulted_total{priority="pay"}'] == 1
+            assert figures["gateway_relayed_total"] == len(rig.hosts[0].seen)
+            assert figures["gateway_open_requests"] == 1
+            writer.close()
+            while (await rig.figures())["gateway_open_requests"]:
+                await asyncio.sleep(0.01)
+    on_loop(scenario)
+
+
+@pytest.mark.parametrize(("call", "status"), [
+    (b"GET /ops/readiness HTTP/1.1\r\nHost: x\r\n\r\n", 200), (b"GET /ops/stats?x=1 HTTP/1.1\r\n\r\n", 200),
+    (b"GET /ops/nothing HTTP/1.1\r\n\r\n", 404),
+    (b"POST /ops/stats HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405), (b"nonsense\r\n\r\n", 400),
+    (b"GET /ops/stats HTTP/1.1\r\nX: " + b"x" * 20000, 400),
+])
+def test_a_call_has_one_answer_and_ends(tmp_path: Path, call: bytes, status: int) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, behave) as rig:
+            reader, writer = await asyncio.open_connection(LOOP, rig.ops_port)
+            writer.write(call)
+            assert int((await read_message(reader, writer)).line.split()[1]) == status
+            with contextlib.suppress(ConnectionResetError):
+                assert await reader.read() == b""
+            writer.close()
+    on_loop(scenario)
+
+
+def test_callers_who_finish_nothing_crowd_nobody_out() -> None:
+    async def scenario() -> None:
+        ops = Ops(asyncio.get_running_loop(), lambda: False, lambda: "")
+        address = await ops.start((LOOP, 0))
+        stalled = [await asyncio.open_connection(*address) for _ in range(ops_module.CALLERS + 4)]
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(b"GET /ops/readiness HTTP/1.1\r\n\r\n")
+        assert (await reader.readline()).split()[1] == b"503"
+        first, _ = stalled[0]
+        with contextlib.suppress(ConnectionResetError):
+            assert await first.read() == b""  # the one that came first gave way
+        for _, other in [*stalled, (reader, writer)]:
+            other.close()
+        ops.stop()
+    on_loop(scenario, 4)  # less than CALL_S, so the place came from giving way
+
+
+def test_a_dropped_class_keeps_its_counts_and_labels_are_escaped() -> None:
+    stats = Stats(["a", 'b"\\'])
+    stats.ended("a", 200)
+    stats.know(["c"])
+    lines = stats.text(0, 0, 0).splitlines()
+    assert 'gateway_fulfilled_total{priority="a"} 1' in lines
+    assert 'gateway_throttled_total{priority="b\\"\\\\"} 0' in lines
+    assert 'gateway_faulted_total{priority="c"} 0' in lines
+
+
+def test_the_module_tells_what_it_avoids() -> None:
+    gateway = Gateway(api.Settings((api.RequestClass("read", 1000, 4000),), (api.Plan("open"),)), 1)
+    gateway.handle(0, api.ServerList("full", (api.Server("a:1"), api.Server("b:1", status="draining"))))
+    assert gateway.rotation() == (2, 1)
+    (send,) = of(gateway.handle(1, api.Request("r", "read", "open", "c", 4000)), api.Send)
+    gateway.handle(2, api.Outcome("r", 0, send.server, api.CONNECT_FAILED, 1, False))
+    assert gateway.rotation() == (2, 2)
--- a/yewstage/__main__.py
+++ b/yewstage/__main__.py
@@ -15,6 +15,7 @@
 from yewstage.net.clients import Server
 from yewstage.net.config import Config, ConfigError, load, reload
 from yewstage.net.core import Core
+from yewstage.net.ops import Ops
 
 ACCEPT_S = 0.5  # after SIGTERM, connections still come for 0.4 s
 LONGEST_S = 3.0  # SIGKILL comes 0.7 s after the longest deadline, or this if that is less, at the soonest
@@ -88,10 +89,12 @@
     try:
         config = reload(os.environ)
     except ConfigError as error:
+        core.stats.invalid += 1
         logging.error("configuration not taken: %s", error)
         return
     logging.info("reconfigured: discovery %s, counter %s", config.discovery, config.counter)
     core.reconfigure(config)
+    core.stats.accepted += 1
 
 
 async def serve(config: Config) -> None:
@@ -104,6 +107,9 @@
         loop.add_signal_handler(number, shutdown.begin)
     loop.add_signal_handler(signal.SIGHUP, _reconfigure, core)
     core.start()
+    ops = Ops(loop, core.ready, core.figures)
+    if config.ops is not None:
+        logging.info("operators' address %s:%d", *await ops.start(config.ops))
     host, port = server.start(config.listen)
     logging.info("connections to hosts: idle for %.0f ms at most, dialled within %.0f ms; %d descriptors",
                  config.idle_ms, config.dial_ms, config.sockets)
@@ -111,6 +117,7 @@
     gc.freeze()
     gc.set_threshold(GC_ALLOCATIONS)  # requests leave next to no cycles: look for them seldom
     await shutdown.done.wait()
+    ops.stop()
     core.stop()
 
 
--- a/yewstage/net/config.py
+++ b/yewstage/net/config.py
@@ -29,6 +29,7 @@
     listen: Address
     discovery: Address
     counter: Address | None
+    ops: Address | None
     seed: int
     sockets: int
     settings: api.Settings
@@ -39,12 +40,13 @@
 
 def load(environ: Mapping[str, str]) -> Config:
     """The configuration that `ROUTER_CONFIG` names; the single variables go before the file."""
-    return _load(environ, {"name": "ROUTER_NAME", "listen": "ROUTER_LISTEN", "discovery": "ROUTER_DISCOVERY"})
+    return _load(environ, {"name": "ROUTER_NAME", "listen": "ROUTER_LISTEN", "discovery": "ROUTER_DISCOVERY",
+                           "ops": "ROUTER_OPS"})
 
 
 def reload(environ: Mapping[str, str]) -> Config:
     """The configuration again: `ROUTER_DISCOVERY` is as old as this process, the file is what is new."""
-    return _load(environ, {"name": "ROUTER_NAME", "listen": "ROUTER_LISTEN"})
+    return _load(environ, {"name": "ROUTER_NAME", "listen": "ROUTER_LISTEN", "ops": "ROUTER_OPS"})
 
 
 def _load(environ: Mapping[str, str], variables: Mapping[str, str]) -> Config:
@@ -76,7 +78,8 @@
         raise ConfigError(f"known: {error}") from None
     return Config(
         name=str(raw.get("name", "")), listen=address(raw, "listen"), discovery=address(raw, "discovery"),
-        counter=address(raw, "counter") if counter else None, seed=_seed(raw), sockets=_sockets(raw),
+        counter=address(raw, "counter") if counter else None,
+        ops=address(raw, "ops") if raw.get("ops") else None, seed=_seed(raw), sockets=_sockets(raw),
         settings=settings, known=known, dial_ms=_positive(pairs, "bounds.dial_timeout_ms", 250.0),
         idle_ms=_positive(pairs, "bounds.conn_idle_ms", 15000.0))
 
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -15,6 +15,7 @@
 from yewstage.net.discovery import Discovery, Listing
 from yewstage.net.hosts import Attempt, Hosts
 from yewstage.net.http1 import Reply
+from yewstage.net.stats import Stats
 from yewstage.policy import Gateway
 
 log = logging.getLogger(__name__)
@@ -85,13 +86,15 @@
         self._loop = loop
         self._clock = Clock()
         self._gateway = Gateway(config.settings, config.seed)
+        self.stats = Stats(c.name for c in config.settings.classes)
         self._hosts = Hosts(loop, int(UPSTREAM_SHARE * config.sockets), config.dial_ms, config.idle_ms,
-                            self._ended)
+                            self._ended, self._relayed)
         self._discovery = Discovery(loop, config.discovery, self._listed)
         self._counter = (Counter(loop, config.counter, config.settings.count_wait_ms, self._post)
                          if config.counter is not None else None)
         self._known = config.known
         self._requests: dict[str, _Open] = {}
+        self._owed = 0  # requests that are owed their answer
         self._serial = 0
         self._events: deque[api.Event] = deque()
         self._handling = False
@@ -133,6 +136,10 @@
             return False
         return self._heard or time.monotonic() - self._started > LIST_WAIT_S
 
+    def figures(self) -> str:
+        """What operators read."""
+        return self.stats.text(self._owed, *self._gateway.rotation())
+
     def fail_all(self) -> None:
         """Answer all that is open as failed: the process is about to end."""
         for request in list(self._requests.values()):
@@ -171,6 +178,7 @@
         left_ms = order.time_left_ms - TRANSIT_MS - self._behind_ms(now)
         request = _Open(rid, client, order, now, now + (left_ms - GUARD_MS) / 1000)
         self._requests[rid] = request
+        self._owed += 1
         request.guard = self._loop.call_later(max(left_ms - GUARD_MS, 0.0) / 1000, self._guard, request)
         self._post(api.Request(rid, order.class_name, order.plan_name, order.customer, left_ms - MODULE_MS,
                                order.units, order.width, order.first, order.repeat))
@@ -200,6 +208,7 @@
             return
         client = request.client
         self._close(request)
+        self.stats.ended(request.order.class_name, status)
         if reply is None:
             _tell_story(request, status, why)
             client.answer(status, retry_after_ms=retry_after_ms)
@@ -208,6 +217,7 @@
 
     def _close(self, request: _Open) -> None:
         request.client = None
+        self._owed -= 1
         request.guard.cancel()
         self._forget(request)
 
@@ -267,6 +277,9 @@
         self._post(api.Outcome(attempt.request, attempt.number, attempt.server, result, took, final,
                                true_units=units))
 
+    def _relayed(self) -> None:
+        self.stats.relayed += 1
+
     def _cancel(self, act: api.Cancel) -> None:
         request = self._requests.get(act.request)
         if request is not None and act.attempt < len(request.attempts):
--- a/yewstage/net/hosts.py
+++ b/yewstage/net/hosts.py
@@ -52,8 +52,8 @@
     """Sends attempts and reports how each one ended, exactly once."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, most: int, dial_ms: float, idle_ms: float,
-                 ended: Callable[[Attempt, str, Reply | None], None]) -> None:
-        self._loop, self._most, self._ended = loop, most, ended
+                 ended: Callable[[Attempt, str, Reply | None], None], relayed: Callable[[], None]) -> None:
+        self._loop, self._most, self._ended, self.relayed = loop, most, ended, relayed
         self._dial_s, self._idle_s = dial_ms / 1000, IDLE_SHARE * idle_ms / 1000
         self._hosts: dict[str, _Host] = {}
         self._connections: set[_Connection] = set()
@@ -242,6 +242,13 @@
         """Write an attempt's request."""
         self.attempt, attempt.connection = attempt, self
         self.write(attempt.payload)
+        if not self.unsent:
+            self._pool.relayed()
+
+    def resume_writing(self) -> None:
+        if self.unsent and self.attempt is not None:
+            self._pool.relayed()
+        super().resume_writing()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -209,6 +209,10 @@
             else:
                 self.hosts[server.name] = _Host(server)
 
+    def rotation(self) -> tuple[int, int]:
+        """How many servers are listed, and how many of these get no ordinary work now."""
+        return len(self.hosts), sum(1 for h in self.hosts.values() if not h.up or h.fails)
+
     # --- Admission (SiRED) ------------------------------------------------------------------------------
 
     def _request(self, req: api.Request) -> None:
