Upgrade without a refused connection: take the held socket, hand the counts over

Answers to requests that wait behind an open one on the same connection go out before it is closed in a drain.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,7 @@
 import json
 import os
 import resource
+import socket
 import sys
 from collections.abc import Callable, Coroutine
 from pathlib import Path
@@ -224,7 +225,10 @@
         self.hosts = [Fake(b) for b in behaves]
         self.totals: dict[str, float] = {}
         self.counter = Fake(lambda seen: adding(seen, self.totals))
+        self.held: socket.socket | None = None  # the clients' listening socket, where the platform holds it
         self.process: asyncio.subprocess.Process | None = None
+        self.processes: list[asyncio.subprocess.Process] = []
+        self.reading: list[asyncio.Task] = []
         self.port = self.ops_port = 0
         self.log: list[str] = []
 
@@ -252,10 +256,18 @@
                 "family_info": {"may_count": True, "count_wait_ms": 30.0, "trued_up": True}}}
         self.path = self.folder / "config.json"
         self.path.write_text(json.dumps(self.config))
+        await self.spawn()
+        while (await self.ask(b"GET /ready HTTP/1.1\r\n\r\n")).line.split()[1] != "200":
+            await asyncio.sleep(0.02)
+
+    async def spawn(self) -> None:
+        """Start a process of the program; it becomes the one that is spoken to."""
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "yewstage", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
-            env={**os.environ, "ROUTER_CONFIG": str(self.path),
-                 "ROUTER_DISCOVERY": self.config["discovery"]})
+            pass_fds=() if self.held is None else (self.held.fileno(),),
+            env={**os.environ, "ROUTER_CONFIG": str(self.path), "TMPDIR": str(self.folder),
+                 "ROUTER_DISCOVERY": self.config["discovery"],
+                 **({} if self.held is None else {"ROUTER_LISTEN_FD": str(self.held.fileno())})})
         while "listening on" not in (line := (await self.process.stderr.readline()).decode()):
             assert line, "the program ended at its start"
             if "operators' address" in line:
@@ -263,9 +275,13 @@
         self.port = int(line.rsplit(":", 1)[1])
         if "sockets" in self.limits:
             resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (self.limits["sockets"],) * 2)
-        self.reading = asyncio.create_task(self._read_log())
-        while (await self.ask(b"GET /ready HTTP/1.1\r\n\r\n")).line.split()[1] != "200":
-            await asyncio.sleep(0.02)
+        self.processes.append(self.process)
+        self.reading.append(asyncio.create_task(self._read_log(self.process)))
+
+    def hold(self) -> Rig:
+        """Hold the clients' listening socket as the platform does: every process inherits it."""
+        self.held = socket.create_server((LOOP, 0))
+        return self
 
     async def logged(self, text: str) -> str:
         """The first line of the log that holds a text, once it is there."""
@@ -273,8 +289,8 @@
             await asyncio.sleep(0.01)
         return lines[0]
 
-    async def _read_log(self) -> None:
-        while line := (await self.process.stderr.readline()).decode():
+    async def _read_log(self, process: asyncio.subprocess.Process) -> None:
+        while line := (await process.stderr.readline()).decode():
             self.log.append(line)
 
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -307,10 +323,13 @@
         return int((await self.ask(data)).line.split()[1])
 
     async def __aexit__(self, *exc: object) -> None:
-        if self.process.returncode is None:
-            self.process.kill()
-            await self.process.wait()
-        self.reading.cancel()
+        for process, reading in zip(self.processes, self.reading, strict=True):
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+            reading.cancel()
+        if self.held is not None:
+            self.held.close()
         for fake in (*self.hosts, self.counter, self.directory.fake):
             fake.stop()
 
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -161,6 +161,7 @@
         monkeypatch.setattr(clients_module, "SPARE_S", 0.0)
         server = clients_module.Server(core, asyncio.get_running_loop(), 4)  # room for two clients
         address = server.start((LOOP, 0))
+        server.accept()
         kept = []
         for i in range(6):
             reader, writer = await asyncio.open_connection(*address)
--- a/yewstage/__main__.py
+++ b/yewstage/__main__.py
@@ -9,18 +9,22 @@
 import signal
 import sys
 import time
+from pathlib import Path
 
 import uvloop
 
 from yewstage.net.clients import Server
 from yewstage.net.config import Config, ConfigError, load, reload
 from yewstage.net.core import Core
+from yewstage.net.handover import Handover
 from yewstage.net.ops import Ops
 
 ACCEPT_S = 0.5  # after SIGTERM, connections still come for 0.4 s
 LONGEST_S = 3.0  # SIGKILL comes 0.7 s after the longest deadline, or this if that is less, at the soonest
 LAST_S = 0.4
 CHECK_S = 0.02
+READY_S = 2.0  # how long clients of a held socket wait for the first list
+SUCCESSOR_S = 0.1  # spacing of the look for a next process
 LINES_PER_S = 20
 GC_ALLOCATIONS = 20_000
 
@@ -49,11 +53,64 @@
     logging.basicConfig(level=logging.INFO, handlers=[handler])
 
 
+class Succession:
+    """What this process shares with one before or after it on the same listening socket."""
+
+    def __init__(self, core: Core, server: Server, loop: asyncio.AbstractEventLoop,
+                 handover: Handover | None) -> None:
+        self._core, self._server, self._loop, self._handover = core, server, loop, handover
+
+    def start(self) -> None:
+        """Begin to accept, once a process before us has left that to us."""
+        if self._handover is not None and self._handover.start(self._took, self._alone):
+            logging.info("another process serves: waiting for it to hand over")
+            self._core.share(True)
+        else:
+            self._accept(self._loop.time() + READY_S if self._handover is not None else 0.0)
+            self._watch()
+
+    def _accept(self, at_latest: float) -> None:
+        """Accept once requests can be served: on a held socket they wait meanwhile, and are not refused."""
+        if self._core.ready() or self._loop.time() >= at_latest:
+            self._server.accept()
+        elif not self._core.draining:
+            self._loop.call_later(CHECK_S, self._accept, at_latest)
+
+    def hand_over(self) -> bool:
+        """Leave all to the next process; False if there is none."""
+        if self._handover is None or not self._handover.succeeded():
+            return False
+        self._handover.hand_over(self._core.hand_over())
+        return True
+
+    def stop(self) -> None:
+        """Look for nothing more."""
+        if self._handover is not None:
+            self._handover.stop()
+
+    def _took(self, state: dict[str, object] | None) -> None:
+        logging.info("taking over, %s", "with no word" if state is None else "with what was handed over")
+        self._core.take_over(state)
+        self._accept(self._loop.time() + READY_S)
+
+    def _alone(self) -> None:
+        self._core.alone()
+        self._watch()
+
+    def _watch(self) -> None:
+        """Share the descriptors while a next process is there, also if it never comes to serve."""
+        if self._handover is not None and not self._core.draining:
+            if self._handover.succeeded() != self._core.shared:
+                self._core.share(not self._core.shared)
+            self._loop.call_later(SUCCESSOR_S, self._watch)
+
+
 class Shutdown:
-    """SIGTERM: accept a little longer, finish what was taken, then end."""
+    """SIGTERM: accept a little longer or leave that to a next process, finish what was taken, then end."""
 
-    def __init__(self, core: Core, server: Server, loop: asyncio.AbstractEventLoop) -> None:
-        self._core, self._server, self._loop = core, server, loop
+    def __init__(self, core: Core, server: Server, loop: asyncio.AbstractEventLoop,
+                 succession: Succession) -> None:
+        self._core, self._server, self._loop, self._succession = core, server, loop, succession
         self.done = asyncio.Event()
         longest = max(c.deadline_ms for c in core.settings.classes) / 1000
         self._last_s = min(longest, LONGEST_S) + LAST_S
@@ -64,8 +121,12 @@
             return
         logging.info("draining")
         self._core.draining = True
-        self._loop.call_later(ACCEPT_S, self._stop_accepting)
         self._loop.call_later(self._last_s, self._end)
+        if self._succession.hand_over():
+            self._server.stop_accepting(succeeded=True)
+            self._check()
+        else:
+            self._loop.call_later(ACCEPT_S, self._stop_accepting)
 
     def _stop_accepting(self) -> None:
         self._server.stop_accepting()
@@ -97,12 +158,21 @@
     core.stats.accepted += 1
 
 
+def _handover(config: Config, loop: asyncio.AbstractEventLoop) -> Handover | None:
+    """Only a socket that the platform holds can pass from one process to the next."""
+    folder = os.environ.get("TMPDIR")
+    if config.listen_fd is None or not folder:
+        return None
+    return Handover(Path(folder), config.name, loop)
+
+
 async def serve(config: Config) -> None:
     """Run until SIGTERM or SIGINT has been served; SIGHUP brings new addresses."""
     loop = asyncio.get_running_loop()
     core = Core(config, loop)
     server = Server(core, loop, config.sockets)
-    shutdown = Shutdown(core, server, loop)
+    succession = Succession(core, server, loop, _handover(config, loop))
+    shutdown = Shutdown(core, server, loop, succession)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, shutdown.begin)
     loop.add_signal_handler(signal.SIGHUP, _reconfigure, core)
@@ -110,13 +180,15 @@
     ops = Ops(loop, core.ready, core.figures)
     if config.ops is not None:
         logging.info("operators' address %s:%d", *await ops.start(config.ops))
-    host, port = server.start(config.listen)
+    host, port = server.start(config.listen, config.listen_fd)
+    succession.start()
     logging.info("connections to hosts: idle for %.0f ms at most, dialled within %.0f ms; %d descriptors",
                  config.idle_ms, config.dial_ms, config.sockets)
     logging.info("listening on %s:%d", host, port)
     gc.freeze()
     gc.set_threshold(GC_ALLOCATIONS)  # requests leave next to no cycles: look for them seldom
     await shutdown.done.wait()
+    succession.stop()
     ops.stop()
     core.stop()
 
--- a/yewstage/interface.py
+++ b/yewstage/interface.py
@@ -201,6 +201,18 @@
     data: bytes
 
 
+@dataclass(slots=True, frozen=True)
+class TakenOver:
+    """New work begins here, after another process of this gateway: what its `hand_over` gave, or None."""
+
+    state: dict[str, object] | None
+
+
+@dataclass(slots=True, frozen=True)
+class PredecessorGone:
+    """The process that handed over has ended, and with it all that it had out."""
+
+
 # Actions
 
 
@@ -267,5 +279,5 @@
 
 
 Event = (ServerList | Request | Outcome | StreamStarted | ClientLeft | TimerDue | CountReply | ProbeReply
-         | PeerMessage)
+         | PeerMessage | TakenOver | PredecessorGone)
 Action = Send | Refuse | Fail | Cancel | Timer | Count | Subscribe | Log
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import array
 import asyncio
 import errno
+import fcntl
 import logging
 import re
 import socket
+import termios
 from collections import Counter, deque
 from functools import lru_cache
 
@@ -284,7 +287,7 @@
         self.since = self._server.now()
         if self.transport.is_closing():
             return
-        keep = self._keep_alive and not self._core.draining
+        keep = self._keep_alive and (not self._core.draining or bool(self._queue))
         parts = [LINES[status], b"Content-Length: %d\r\n" % len(body)]
         if content_type:
             parts.append(b"Content-Type: %b\r\n" % content_type)
@@ -333,9 +336,15 @@
         """Whether no request is owed its answer or is being read."""
         return not self._busy and self._message is None and not self._queue
 
+    def unread(self) -> bool:
+        """Whether bytes have come that we have not read: a close now would reset the connection."""
+        count = array.array("i", [0])
+        fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.FIONREAD, count)
+        return count[0] > 0
+
     def close_if_idle(self) -> None:
-        """Close unless a request is owed its answer or is being read."""
-        if self.idle():
+        """Close unless a request is owed its answer, is being read or waits to be read."""
+        if self.idle() and not self.transport.is_closing() and not self.unread():
             self.transport.close()
 
 
@@ -346,9 +355,9 @@
         self.core, self.loop = core, loop
         self.names = Names(core.settings)
         self.connections: set[ClientConnection] = set()
-        self._most = int(CLIENT_SHARE * sockets)
+        self._sockets = sockets
         self._socket: socket.socket | None = None
-        self._accepting = False
+        self._open = self._accepting = False
         self._pending: set[asyncio.Task] = set()
         self._told_at = -TELL_S
 
@@ -356,21 +365,35 @@
         """The loop's time."""
         return self.loop.time()
 
-    def start(self, address: tuple[str, int]) -> tuple[str, int]:
-        """Listen; returns the address, with the port that the system chose for 0."""
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self._socket = socket.socket(family, socket.SOCK_STREAM)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    def start(self, address: tuple[str, int], fd: int | None = None) -> tuple[str, int]:
+        """Listen, on the socket that the platform holds where there is one; nothing is accepted yet.
+
+        Returns the address, with the port that the system chose for 0.
+        """
+        if fd is not None:
+            self._socket = socket.socket(fileno=fd)
+        else:
+            family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+            self._socket = socket.socket(family, socket.SOCK_STREAM)
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self._socket.bind(address)
         self._socket.setblocking(False)
-        self._socket.bind(address)
-        self._socket.listen(BACKLOG)
-        self._resume()
+        if not self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            self._socket.listen(BACKLOG)
         self.loop.call_later(SWEEP_S, self._sweep)
         return self._socket.getsockname()[:2]
 
-    def stop_accepting(self) -> None:
-        """Close the listening socket, once what has come to it is accepted."""
-        if self._accepting:
+    def accept(self) -> None:
+        """Begin to accept."""
+        self._open = True
+        self._resume()
+
+    def stop_accepting(self, succeeded: bool = False) -> None:
+        """Leave the listening socket: what has come to it is accepted first, or left to a next process.
+
+        It is closed here, never shut down: where the platform holds it, others go on with it.
+        """
+        if self._accepting and not succeeded:
             self._accept()
         self._pause()
         if self._socket is not None:
@@ -389,7 +412,7 @@
         self._resume()
 
     def _resume(self) -> None:
-        if self._socket is not None and not self._accepting and self._room():
+        if self._open and self._socket is not None and not self._accepting and self._room():
             self._accepting = True
             self.loop.add_reader(self._socket, self._accept)
 
@@ -399,7 +422,8 @@
             self.loop.remove_reader(self._socket)
 
     def _room(self) -> bool:
-        return len(self.connections) + len(self._pending) < self._most
+        most = int(CLIENT_SHARE * self._sockets) // (2 if self.core.shared else 1)
+        return len(self.connections) + len(self._pending) < most
 
     def _accept(self) -> None:
         # Guards the descriptors: beyond the bound clients wait in the backlog, and a failing accept is
--- a/yewstage/net/config.py
+++ b/yewstage/net/config.py
@@ -30,6 +30,7 @@
     discovery: Address
     counter: Address | None
     ops: Address | None
+    listen_fd: int | None  # the clients' listening socket, where the platform holds it
     seed: int
     sockets: int
     settings: api.Settings
@@ -62,10 +63,10 @@
     for field, variable in variables.items():
         if environ.get(variable):
             raw[field] = environ[variable]
-    return parse(raw)
+    return parse(raw, _descriptor(environ))
 
 
-def parse(raw: dict[str, object]) -> Config:
+def parse(raw: dict[str, object], listen_fd: int | None = None) -> Config:
     """The object of the file as a `Config`."""
     pairs = dict(_flatten("", _object(raw, "settings")))
     settings = _settings(pairs)
@@ -79,11 +80,21 @@
     return Config(
         name=str(raw.get("name", "")), listen=address(raw, "listen"), discovery=address(raw, "discovery"),
         counter=address(raw, "counter") if counter else None,
-        ops=address(raw, "ops") if raw.get("ops") else None, seed=_seed(raw), sockets=_sockets(raw),
-        settings=settings, known=known, dial_ms=_positive(pairs, "bounds.dial_timeout_ms", 250.0),
+        ops=address(raw, "ops") if raw.get("ops") else None, listen_fd=listen_fd, seed=_seed(raw),
+        sockets=_sockets(raw), settings=settings, known=known,
+        dial_ms=_positive(pairs, "bounds.dial_timeout_ms", 250.0),
         idle_ms=_positive(pairs, "bounds.conn_idle_ms", 15000.0))
 
 
+def _descriptor(environ: Mapping[str, str]) -> int | None:
+    text = environ.get("ROUTER_LISTEN_FD")
+    if not text:
+        return None
+    if not (text.isascii() and text.isdigit()):
+        raise ConfigError(f"ROUTER_LISTEN_FD: {text!r} is not a descriptor")
+    return int(text)
+
+
 def address(raw: Mapping[str, object], field: str) -> Address:
     """A field of the form HOST:PORT."""
     host, colon, port = str(raw.get(field, "")).rpartition(":")
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -87,8 +87,8 @@
         self._clock = Clock()
         self._gateway = Gateway(config.settings, config.seed)
         self.stats = Stats(c.name for c in config.settings.classes)
-        self._hosts = Hosts(loop, int(UPSTREAM_SHARE * config.sockets), config.dial_ms, config.idle_ms,
-                            self._ended, self._relayed)
+        self._most = int(UPSTREAM_SHARE * config.sockets)
+        self._hosts = Hosts(loop, self._most, config.dial_ms, config.idle_ms, self._ended, self._relayed)
         self._discovery = Discovery(loop, config.discovery, self._listed)
         self._counter = (Counter(loop, config.counter, config.settings.count_wait_ms, self._post)
                          if config.counter is not None else None)
@@ -103,6 +103,7 @@
         self._beat_due = time.monotonic() + BEAT_S
         self._heard = False  # discovery has answered in this life
         self.draining = False
+        self.shared = False  # with another process: each has half of the descriptors
 
     # --- Life ---------------------------------------------------------------------------------------------
 
@@ -123,6 +124,24 @@
         if self._counter is not None and config.counter is not None:
             self._counter.move(config.counter)
 
+    def share(self, shared: bool) -> None:
+        """Go on with half of the descriptors, or with all of them."""
+        self.shared = shared
+        self._hosts.most = self._most // (2 if shared else 1)
+
+    def hand_over(self) -> dict[str, object]:
+        """What the next process must know; from now on that process holds it."""
+        return self._gateway.hand_over()
+
+    def take_over(self, state: dict[str, object] | None) -> None:
+        """Go on from what the process before us left, if it left anything."""
+        self._post(api.TakenOver(state))
+
+    def alone(self) -> None:
+        """The process before us is gone."""
+        self.share(False)
+        self._post(api.PredecessorGone())
+
     def stop(self) -> None:
         """Close everything towards the back end."""
         self._discovery.stop()
--- a/yewstage/net/hosts.py
+++ b/yewstage/net/hosts.py
@@ -53,7 +53,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, most: int, dial_ms: float, idle_ms: float,
                  ended: Callable[[Attempt, str, Reply | None], None], relayed: Callable[[], None]) -> None:
-        self._loop, self._most, self._ended, self.relayed = loop, most, ended, relayed
+        self._loop, self.most, self._ended, self.relayed = loop, most, ended, relayed
         self._dial_s, self._idle_s = dial_ms / 1000, IDLE_SHARE * idle_ms / 1000
         self._hosts: dict[str, _Host] = {}
         self._connections: set[_Connection] = set()
@@ -121,7 +121,7 @@
         attempt.dial_timer = self._loop.call_later(self._dial_s, self._dial_overdue, attempt)
 
     def _room(self) -> bool:
-        if len(self._connections) + self._dials < self._most:
+        if len(self._connections) + self._dials < self.most:
             return True
         idle = [host for host in self._hosts.values() if host.idle]
         if idle:  # the connection that has stood idle longest gives way
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 import random
 from collections import deque
 
@@ -35,6 +36,19 @@
 CALL_REST_MS = 1000.0  # one call in this time is made however few are answered: it finds the counter's return
 FORGET_WINDOWS = 6.0  # windows without a request after which a customer is forgotten
 KEEP_MAX_MS = 60000.0  # longest life of a count
+# What a next process takes over, beside names and windows.
+HANDED = ("born", "q", "f", "q_seen", "ok_q", "lost", "mid", "done_rate", "warm_rate", "bank", "heard")
+HANDED_HOST = ("born", "slow", "strikes", "fails", "down_until", "died", "cold_from_ms", "credit",
+               "credit_at")
+HANDED_USE = ("width", "own", "added", "base_own", "base_at", "base_use", "base_left", "most", "left",
+              "left_at", "others", "seen", "ceiling", "ceiling_at", "luck")
+
+
+def _finite(value: object) -> float:
+    """A number that another process told; ValueError where it is none."""
+    if not isinstance(value, (int, float)) or not math.isfinite(value):
+        raise ValueError(f"{value!r} is not a finite number")
+    return value
 
 
 def ramp(q: float) -> float:
@@ -94,7 +108,7 @@
 
     __slots__ = ("plan", "width", "window", "name", "own", "added", "base", "base_own", "base_at", "base_use",
                  "base_left", "most", "left", "left_at", "others", "calling", "in_call", "call_at", "asking",
-                 "open", "seen", "ceiling", "ceiling_at", "luck")
+                 "open", "elsewhere", "seen", "ceiling", "ceiling_at", "luck")
 
     def __init__(self, plan: api.Plan, width: int, now: float, age: float) -> None:
         self.plan, self.width, self.seen = plan, width, now
@@ -108,7 +122,7 @@
         # Danger: a gateway back from the dead has spent what it no longer knows. It earns its split anew.
         self.left, self.left_at = min(plan.burst, plan.rate * age / 1000) / width, now
         self.asking: list[tuple[api.Request, float, float]] = []  # wait for a total: request, aim, end
-        self.open = 0
+        self.open = self.elsewhere = 0  # out here; out at the process that handed over
         self.ceiling = self.ceiling_at = 0.0
         self.luck = 1.0  # part of our asking that found something left
 
@@ -154,6 +168,7 @@
         self.bank = RETRY_BANK
         self.heard, self.call_at = 1.0, 0.0  # part of our counter calls answered; the last one's time
         self.said: dict[str, float] = {}
+        self.handed = False  # a next process holds our parts of ceilings, caps and cold budgets
 
     # --- Events -------------------------------------------------------------------------------------------
 
@@ -188,6 +203,11 @@
             case api.ClientLeft():
                 self.asking.pop(event.request, None)
                 self._finish(self.held.get(event.request))
+            case api.TakenOver():
+                self._take_over(event.state)
+            case api.PredecessorGone():
+                for use in self.uses.values():
+                    use.elsewhere = 0
             case api.TimerDue() | api.ProbeReply() | api.PeerMessage():
                 pass
             case _:
@@ -213,6 +233,64 @@
         """How many servers are listed, and how many of these get no ordinary work now."""
         return len(self.hosts), sum(1 for h in self.hosts.values() if not h.up or h.fails)
 
+    # --- Upgrades ------------------------------------------------------------------------------------------
+
+    def hand_over(self) -> dict[str, object]:
+        """All that the rules need of us, for the process that goes on; what it holds we no longer spend."""
+        self.handed = True
+        for use in self.uses.values():
+            self._left(use)
+        state = {
+            "own": {name: getattr(self, name) for name in HANDED},
+            "latency": dict(self.latency),
+            "hosts": {h.name: [getattr(h, name) for name in HANDED_HOST] for h in self.hosts.values()},
+            "uses": {customer: [use.plan.name, use.window, use.name, use.base, use.open + use.elsewhere,
+                                *(getattr(use, name) for name in HANDED_USE)]
+                     for customer, use in self.uses.items()}}
+        for use in self.uses.values():
+            use.added = use.own  # what was not told yet is told by the next process
+        return state
+
+    def _take_over(self, state: dict[str, object] | None) -> None:
+        """Go on from another process's state; from nothing where there is none or it makes no sense.
+
+        Danger: without one the parts of ceilings and quotas are earned anew, as after a restart, from now on
+        and not from our start, when the other process still spent them.
+        """
+        self.born = self.now
+        if state is None:
+            return
+        try:
+            own = {name: _finite(state["own"][name]) for name in HANDED}
+            latency = {name: _finite(v) for name, v in state["latency"].items() if name in self.latency}
+            hosts = {name: [_finite(v) for v in values] for name, values in state["hosts"].items()
+                     if len(values) == len(HANDED_HOST)}
+            uses = {customer: self._handed_use(values) for customer, values in state["uses"].items()
+                    if values[0] in self.plans}
+        except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
+            self.out.append(api.Log(f"what was handed over makes no sense: {error!r}"))
+            return
+        for name, value in own.items():
+            setattr(self, name, value)
+        self.latency.update(latency)
+        for name, values in hosts.items():
+            host = self.hosts.get(name)
+            if host is not None and values[0] >= host.born:  # else it has started since
+                for field, value in zip(HANDED_HOST, values, strict=True):
+                    setattr(host, field, type(getattr(host, field))(value))
+        self.uses = uses
+
+    def _handed_use(self, values: list) -> _Use:
+        plan, window, name, base, out, *rest = values
+        use = _Use(self.plans[plan], 1, self.now, 0.0)
+        use.window, use.name = int(_finite(window)), str(name)
+        use.base = None if base is None else _finite(base)
+        use.elsewhere = int(_finite(out))
+        for field, value in zip(HANDED_USE, rest, strict=True):
+            setattr(use, field, _finite(value))
+        use.width = max(1, int(use.width))
+        return use
+
     # --- Admission (SiRED) ------------------------------------------------------------------------------
 
     def _request(self, req: api.Request) -> None:
@@ -426,7 +504,7 @@
 
     def _quota_has(self, use: _Use, units: float) -> bool:
         plan = use.plan
-        if plan.parallel and use.open >= max(1, plan.parallel // use.width):
+        if plan.parallel and (self.handed or use.open + use.elsewhere >= max(1, plan.parallel // use.width)):
             return False
         if plan.rate <= 0:
             return True
@@ -447,6 +525,8 @@
         plan = use.plan
         if plan.ceiling_rate <= 0:
             return True
+        if self.handed:
+            return False
         full = plan.ceiling_burst / use.width
         gained = (self.now - use.ceiling_at) * plan.ceiling_rate / 1000 / use.width
         use.ceiling = min(full, use.ceiling + gained)
@@ -525,6 +605,8 @@
         what the fleet sends to one, times warmth. Danger: parts under one request; one for each gateway would
         tip the host, none leave it idle. Hurts: those with no yardstick yet send lone requests only.
         """
+        if self.handed:
+            return False
         if self.warm_rate <= 0:
             return host.open == 0 and self.rng.random() * self.s.fleet_size < 1
         rate = min(COLD_MARGIN * self.s.fall_multiple, 1.0) * warmth * self.warm_rate
