Stream long bodies both ways, each side held back by the other

A body over 64 KiB was turned away with 413 and an answer kept whole or dropped.

- A host's answer that ends with its connection is passed on in chunks, so that a client sees its end.
- A request that offers another protocol no longer ends its connection with a traceback.

--- a/yewstage/interface.py
+++ b/yewstage/interface.py
@@ -134,6 +134,7 @@
     width: int = 1  # gateways that this customer's requests may come through
     first: int = 0  # number of the first of them
     repeat: bool = False
+    kept: bool = True  # its body is kept; else it is passed on once, as it comes: see `Uploaded`
 
 
 @dataclass(slots=True, frozen=True)
@@ -159,6 +160,13 @@
     attempt: int
 
 
+@dataclass(slots=True, frozen=True)
+class Uploaded:
+    """The last byte of a body that is not kept has left: the attempt is at its server, time runs from now."""
+
+    request: str
+
+
 @dataclass(slots=True, frozen=True)
 class ClientLeft:
     """The client is gone; nothing more is owed."""
@@ -278,6 +286,6 @@
     text: str
 
 
-Event = (ServerList | Request | Outcome | StreamStarted | ClientLeft | TimerDue | CountReply | ProbeReply
-         | PeerMessage | TakenOver | PredecessorGone)
+Event = (ServerList | Request | Outcome | StreamStarted | Uploaded | ClientLeft | TimerDue | CountReply
+         | ProbeReply | PeerMessage | TakenOver | PredecessorGone)
 Action = Send | Refuse | Fail | Cancel | Timer | Count | Subscribe | Log
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -17,18 +17,23 @@
 
 from yewstage import interface as api
 from yewstage.net.core import Core, Order
-from yewstage.net.http1 import LONGEST_BODY
+from yewstage.net.hosts import Source
+from yewstage.net.http1 import LONGEST_BODY, Upload, narrow
 
 log = logging.getLogger(__name__)
 
 BACKLOG = 256
 CLIENT_SHARE = 0.5  # of the descriptors
 LONGEST_HEAD = 32 * 1024
-HEAD_S = 2.2  # how long a request may take to come in, a connection's first one from when it was opened
+LONGEST_UPLOAD = 32 * 1024 * 1024
+HEAD_S = 2.2  # how long a head may take to come in, a connection's first one from when it was opened
+BODY_S = 0.7  # how far its body may then be behind BODY_RATE
+BODY_RATE = 64_000.0  # bytes a second, the slowest that a body may come
+READ_S = 30.0  # a client that takes nothing of its answer for so long is gone
 IDLE_S = 75.0  # how long an idle connection is kept while there is room
 SPARE_S = 2.0  # a connection idle for longer gives its place to a new client
 LINGER_S = 1.0  # how long the rest of a rejected request is read before its connection is closed
-SWEEP_S = 0.5
+SWEEP_S = 0.2
 ACCEPT_PAUSE_S = 0.05
 TELL_S = 5.0  # spacing of the log's word that there is no room
 
@@ -37,7 +42,8 @@
            503: b"Service Unavailable", 504: b"Gateway Timeout"}
 LINES = {status: b"HTTP/1.1 %d %b\r\n" % (status, reason) for status, reason in REASONS.items()}
 WANTED = frozenset((b"x-request-id", b"x-class", b"plan", b"x-deadline", b"quota-info", b"x-retry",
-                    b"idempotency-key", b"content-length", b"content-type", b"expect"))
+                    b"idempotency-key", b"content-length", b"content-type", b"expect",
+                    b"transfer-encoding"))
 WORD = re.compile(rb"[!-~]{1,128}")
 CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
 DEADLINE = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,6})?)([mu])")
@@ -52,17 +58,26 @@
 class _Message:
     """One request as parsed."""
 
-    __slots__ = ("url", "headers", "body", "size", "method", "keep_alive", "twice", "head")
+    __slots__ = ("url", "headers", "body", "size", "method", "keep_alive", "twice", "head", "order", "length",
+                 "upload", "headed_at", "held_s", "whole", "expects", "version")
 
     def __init__(self) -> None:
         self.url = b""
         self.headers: dict[bytes, bytes] = {}
         self.body: list[bytes] = []
-        self.size = 0
+        self.size = 0  # of its body, so far
         self.method = b""
+        self.version = "1.1"
         self.keep_alive = True
         self.head = 0  # bytes of its headers
         self.twice = False  # a header that we go by came twice
+        self.length: int | None = 0  # of its body; None: it comes in chunks
+        self.order: Order | None = None  # what is asked; None: whether we are ready
+        self.upload: Upload | None = None  # the body, where it is too long to keep
+        self.headed_at = 0.0  # when its head was whole; 0: it is not
+        self.held_s = 0.0  # how long we have kept its client from sending
+        self.whole = False
+        self.expects = False  # its client waits for our word before it sends the body
 
 
 class Names:
@@ -93,7 +108,16 @@
     units, width, first = _quota_info(headers.get(b"quota-info", b""))
     return Order(headers.get(b"x-request-id", b"").decode("latin-1"), cls.name, plan,
                  customer.decode().lower(), time_left_ms, units, width, first,
-                 headers.get(b"x-retry") == b"1", _head(message, cls), b"".join(message.body))
+                 headers.get(b"x-retry") == b"1", _head(message, cls), b"")
+
+
+def _framing(message: _Message) -> bytes:
+    """How long its body is, for the host."""
+    if message.upload is not None and message.length is None:
+        return b"Transfer-Encoding: chunked\r\n"
+    if message.method == b"POST":
+        return b"Content-Length: %d\r\n" % (message.size if message.upload is None else message.length)
+    return b""
 
 
 @lru_cache(maxsize=1024)  # a few values make up all traffic
@@ -109,7 +133,7 @@
 
 
 def _head(message: _Message, cls: api.RequestClass) -> bytes:
-    """The head for the host: method, path, query, id and key unchanged."""
+    """The head for the host but for the body's length: method, path, query, id and key unchanged."""
     headers, key = message.headers, message.headers.get(b"idempotency-key")
     rid = headers.get(b"x-request-id", b"")
     if not WORD.fullmatch(rid) or (key is not None and not WORD.fullmatch(key)):
@@ -117,13 +141,11 @@
     # A class that may not simply be repeated must not come as a method that may.
     if message.method != (b"GET" if cls.effect == "safe" else b"POST"):
         raise BadRequestError("method")
-    if (cls.effect == "keyed" and key is None) or (cls.effect == "safe" and message.body):
+    if (cls.effect == "keyed" and key is None) or (cls.effect == "safe" and message.length):
         raise BadRequestError("Idempotency-Key or body")
     lines = [b"%b %b HTTP/1.1\r\nHost: upstream\r\nX-Request-Id: %b\r\n" % (message.method, message.url, rid)]
     if key is not None:
         lines.append(b"Idempotency-Key: %b\r\n" % key)
-    if message.method == b"POST":
-        lines.append(b"Content-Length: %d\r\n" % message.size)
     if b"content-type" in headers:
         lines.append(b"Content-Type: %b\r\n" % headers[b"content-type"])
     return b"".join(lines)
@@ -137,41 +159,73 @@
         self.transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._message: _Message | None = None  # being read
-        self._queue: deque[_Message | int] = deque()  # whole, or the status of a bad one
+        self._queue: deque[_Message | int] = deque()  # to be taken, or the status of a bad one
+        self._taken: _Message | None = None  # the last one taken
         self._open: str | None = None  # id of the request that is owed an answer
         self._busy = False  # a request is owed an answer
-        self._keep_alive = True
+        self._source: Source | None = None  # where the answer comes from that is being passed on
+        self._chunked = self._framed = self._stays = False  # it goes out in chunks; its end shows; we stay
         self._ending = False
-        self._pumping = self._paused = False
-        self._blocked = False  # the client does not read its answers
+        self._pumping = False
+        self._crowded = self._slowed = False  # what must not be read yet: requests behind others, a body
+        self._paused_at: float | None = None  # since when we do not read
+        self._blocked_at: float | None = None  # since when the client does not read its answers
         self._head = 0  # bytes of the head being read
+        self._resuming = False  # the parser is told again what it has been told
         self.served = 0  # answers given
         self.since = 0.0  # when the connection was opened, became idle, or a later message on it began
+        self.heard_at = 0.0  # when bytes last came
 
     # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
-        self.since = self._server.now()
+        self.since = self.heard_at = self._server.now()
         self._server.connections.add(self)
 
     def data_received(self, data: bytes) -> None:
-        if self._ending:
-            return
-        self._head += len(data)
+        self.heard_at = self._server.now()
+        if not self._ending:
+            self._parse(data)
+            self._pump()
+
+    def _parse(self, data: bytes) -> None:
+        in_body = self._message is not None and self._message.headed_at
+        self._head += 0 if in_body else len(data)
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as upgrade:
+            self._parse_on(data[upgrade.args[0]:])
         except httptools.HttpParserError:
-            self._reject(400)
-        if self._head > LONGEST_HEAD and not self._ending:
-            self._reject(400)  # guards the memory: a head without an end
-        self._pump()
+            self._spoil(400)
+        if self._head > LONGEST_HEAD:
+            self._spoil(400)  # guards the memory: a head without an end
+
+    def _parse_on(self, rest: bytes) -> None:
+        """Go on behind a request that offers another protocol, where the parser stops: we speak only this."""
+        self._parser = httptools.HttpRequestParser(self)
+        if self._ending:
+            return
+        message = self._message
+        if message is not None:  # its body is yet to come
+            framing = (b"Transfer-Encoding: chunked" if message.length is None
+                       else b"Content-Length: %d" % message.length)
+            self._resuming = True
+            self._parser.feed_data(b"POST / HTTP/1.1\r\n%b\r\n\r\n" % framing)
+            self._resuming = False
+        if rest:
+            self._parse(rest)
 
     def pause_writing(self) -> None:
-        self._blocked = True  # guards the memory: no further request is taken until the answers are read
+        # Guards the memory: no further request is taken, no more of an answer read, until it has read this.
+        self._blocked_at = self._server.now()
+        if self._source is not None:
+            self._source.hold(True)
 
     def resume_writing(self) -> None:
-        self._blocked = False
+        self._blocked_at = None
+        if self._source is not None:
+            self._source.hold(False)
         self._pump()
 
     def eof_received(self) -> None:
@@ -181,53 +235,124 @@
         self._server.closed(self)
         self._ending = True
         self._queue.clear()
-        if self._open is not None:
-            self._core.left(self._open)
-            self._open = None
+        self._source = None
+        self._leave()
+
+    def _leave(self) -> None:
+        """Nothing is owed any more."""
+        rid, self._open = self._open, None
+        if rid is not None:
+            self._core.left(rid)
 
     # httptools
 
     def on_message_begin(self) -> None:
+        if self._resuming:
+            return
         self._message = _Message()
         if self.served and not self._busy:
             self.since = self._server.now()
 
     def on_url(self, url: bytes) -> None:
-        self._message.url += url
+        if not self._resuming:
+            self._message.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        message = self._message
+        if self._resuming or self._ending:
+            return
         name = name.lower()
-        self._message.head += len(name) + len(value)
-        if self._message.head > LONGEST_HEAD:
-            self._reject(400)
-        elif name in WANTED:
-            headers = self._message.headers
-            self._message.twice |= name in headers
-            headers[name] = value
+        message.head += len(name) + len(value)
+        if message.head > LONGEST_HEAD:
+            self._spoil(400)
+        elif name in WANTED and not message.headed_at:  # what comes in a trailer is not gone by
+            message.twice |= name in message.headers
+            message.headers[name] = value
 
     def on_headers_complete(self) -> None:
         message = self._message
-        self._head = -LONGEST_BODY * 2  # from here on the body's own bound holds
+        if self._resuming or self._ending:
+            return
+        message.headed_at = self._server.now()
+        message.method = self._parser.get_method()
+        message.version = self._parser.get_http_version()
+        message.keep_alive = self._parser.should_keep_alive()
         length = message.headers.get(b"content-length", b"0")
-        if length.isdigit() and int(length) > LONGEST_BODY:
-            self._reject(413)
-        elif message.headers.get(b"expect", b"").lower() == b"100-continue" and not self._busy:
+        message.length = None if b"transfer-encoding" in message.headers else int(length)
+        self._head = 0
+        status = self._judge(message)
+        if status:
+            self._reject(status)
+        elif (message.length or 0) > LONGEST_BODY:
+            self._upload(message)
+        else:
+            message.expects = message.headers.get(b"expect", b"").lower() == b"100-continue"
+            self._invite()
+
+    def _judge(self, message: _Message) -> int:
+        """The status that a request is turned away with at its head; 0 if it may come in."""
+        path = message.url.partition(b"?")[0]
+        if path == b"/ready" and message.method == b"GET" and message.length == 0:
+            return 0
+        if not path.startswith(b"/api/"):
+            return 404
+        if (message.length or 0) > LONGEST_UPLOAD:
+            return 413
+        try:
+            message.order = order(message, self._server.names)
+        except BadRequestError:
+            return 400
+        return 0
+
+    def _invite(self) -> None:
+        """Ask for a body that waits for our word, once all before it is answered."""
+        message = self._message
+        if (message is not None and message.expects and message.upload is None and not self._busy
+                and not self._queue):
+            message.expects = False
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def _upload(self, message: _Message) -> None:
+        """Its body is too long to keep: take the request now, pass the body on as it comes."""
+        message.upload = Upload(message.length, self._slow)
+        message.expects = message.headers.get(b"expect", b"").lower() == b"100-continue" and not message.size
+        narrow(self.transport, socket.SO_RCVBUF)
+        if message.body:
+            message.upload.feed(b"".join(message.body))
+            message.body.clear()
+        self._queue.append(message)
+
     def on_body(self, data: bytes) -> None:
         message = self._message
+        if self._ending:
+            return
         message.size += len(data)
-        if message.size <= LONGEST_BODY:
-            message.body.append(data)
+        if message.size > LONGEST_UPLOAD:
+            self._spoil(413)
+        elif message.method == b"GET":
+            self._spoil(400)
+        elif message.upload is not None:
+            message.upload.feed(data)
         else:
-            self._reject(413)
+            message.body.append(data)
+            if message.size > LONGEST_BODY:
+                self._upload(message)
 
     def on_message_complete(self) -> None:
-        message, self._message = self._message, None
+        message = self._message
+        if self._ending:
+            self._message = None
+            return
+        if self._parser.should_upgrade() and message.length != 0:
+            return  # the parser leaves the body out: see `_parse_on`
+        self._message = None
         self._head = 0
-        message.method = self._parser.get_method()
-        message.keep_alive = self._parser.should_keep_alive()
-        if not self._ending:
+        message.whole = True
+        if message.upload is not None:
+            message.upload.finish()
+            if message is self._taken and not self._busy:
+                self._end()  # its answer went out before its end
+        else:
             self._queue.append(message)
 
     # Requests and answers
@@ -238,56 +363,108 @@
             self._ending = True
             self._queue.append(status)
 
+    def _spoil(self, status: int) -> None:
+        """What is being read turns out bad: if it is taken already, its request ends here."""
+        message = self._message
+        if self._ending:
+            return
+        if message is None or message.upload is None:
+            self._reject(status)
+        elif message is not self._taken:
+            self._queue.remove(message)
+            self._reject(status)
+        elif self._busy and self._source is None:
+            self._leave()
+            self._ending = True
+            self._answer_and_close(status)
+        else:
+            self.transport.abort()
+
+    def _slow(self, held: bool) -> None:
+        """The host's side of a body: hold its client back, or let it go on."""
+        if held != self._slowed:
+            self._slowed = held
+            self._read_on()
+
+    def _read_on(self) -> None:
+        """Read while nothing waits behind others and the host takes what is read."""
+        pause = self._crowded or self._slowed
+        if pause == (self._paused_at is not None) or self.transport.is_closing():
+            return
+        now = self._server.now()
+        if pause:
+            self._paused_at = now
+            self.transport.pause_reading()
+            return
+        if self._message is not None:
+            self._message.held_s += now - self._paused_at
+        self._paused_at = None
+        self.transport.resume_reading()
+
     def _pump(self) -> None:
         """Take what waits, one request at a time; read on only while nothing waits."""
         if self._pumping or self.transport is None:
             return
         self._pumping = True
         try:
-            while self._queue and not self._busy and not self._blocked:
+            while self._queue and not self._busy and self._blocked_at is None and self._settled():
                 self._take(self._queue.popleft())
         finally:
             self._pumping = False
-        wait = bool(self._queue)
-        if wait != self._paused and not self.transport.is_closing():
-            self._paused = wait
-            (self.transport.pause_reading if wait else self.transport.resume_reading)()
+        self._crowded = bool(self._queue)
+        self._read_on()
+        self._invite()
+
+    def _settled(self) -> bool:
+        """Whether the last request's body is all read."""
+        return self._taken is None or self._taken.whole
 
     def _take(self, item: _Message | int) -> None:
         self._busy = True
         if isinstance(item, int):
             self._answer_and_close(item)
             return
-        self._keep_alive = item.keep_alive
-        path = item.url.partition(b"?")[0]
-        if path == b"/ready" and item.method == b"GET":
+        self._taken = item
+        if item.order is None:
             self._answer_and_close(200 if self._core.ready() else 503)
-        elif not path.startswith(b"/api/"):
-            self._answer_and_close(404)
-        else:
-            try:
-                wanted = order(item, self._server.names)
-            except BadRequestError:
-                self._answer_and_close(400)
-                return
-            rid = self._core.request(self, wanted)
-            if self._busy:  # else it is answered already
-                self._open = rid
+            return
+        wanted = item.order
+        wanted.upload = item.upload
+        if item.upload is None:
+            wanted.body, item.body = b"".join(item.body), []
+        wanted.head += _framing(item)
+        rid = self._core.request(self, wanted)
+        if self._busy:  # else it is answered already
+            self._open = rid
+            if item.expects:
+                item.expects = False
+                self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _answer_and_close(self, status: int) -> None:
         """Answer what is not a client's request, and leave whoever sent it no place."""
-        self._keep_alive = False
+        self._ending = True
         self.answer(status)
 
+    def _keeps(self) -> bool:
+        """Whether the connection goes on behind the answer that is due."""
+        if self._taken is None or not (self._taken.keep_alive and self._taken.whole):
+            return False
+        return bool(self._queue) or not (self._ending or self._core.draining)
+
+    def _answered(self) -> None:
+        self._open, self._busy, self._source = None, False, None
+        self.served += 1
+        self.since = self._server.now()
+        if self._taken is not None and self._taken.upload is not None:
+            self._taken.upload.detach()
+
     def answer(self, status: int, body: bytes = b"", content_type: bytes = b"",
                retry_after_ms: float = 0.0) -> None:
         """The one answer to the request that is open."""
-        self._open, self._busy = None, False
-        self.served += 1
-        self.since = self._server.now()
+        self._answered()
         if self.transport.is_closing():
             return
-        keep = self._keep_alive and (not self._core.draining or bool(self._queue))
+        keep = self._keeps()
         parts = [LINES[status], b"Content-Length: %d\r\n" % len(body)]
         if content_type:
             parts.append(b"Content-Type: %b\r\n" % content_type)
@@ -300,16 +477,64 @@
             self._end()
         self._pump()
 
+    # A long answer, as it comes
+
+    def begin(self, length: int | None, content_type: bytes, source: Source) -> None:
+        """Begin to pass on a long answer to the request that is open."""
+        self._source = source
+        self._chunked = length is None and self._taken.version == "1.1"
+        self._framed = self._chunked or length is not None
+        self._stays = self._framed and self._keeps()
+        parts = [LINES[200]]
+        if length is not None:
+            parts.append(b"Content-Length: %d\r\n" % length)
+        elif self._chunked:
+            parts.append(b"Transfer-Encoding: chunked\r\n")
+        if content_type:
+            parts.append(b"Content-Type: %b\r\n" % content_type)
+        parts.append(b"\r\n" if self._stays else b"Connection: close\r\n\r\n")
+        narrow(self.transport, socket.SO_SNDBUF)
+        self._write(b"".join(parts))
+        if self._blocked_at is not None:
+            source.hold(True)
+
+    def more(self, data: bytes) -> None:
+        """Pass on a part of it."""
+        self._write(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
+
+    def finish(self) -> None:
+        """It is whole."""
+        if self._chunked:
+            self._write(b"0\r\n\r\n")
+        self._answered()
+        if not self._stays:
+            self._end()
+        self._pump()
+
+    def cut(self) -> None:
+        """It will not become whole: end the connection where its framing, or a reset, tells the client."""
+        self._answered()
+        self._ending = True
+        (self.transport.close if self._framed else self.transport.abort)()
+
+    def _write(self, data: bytes) -> None:
+        if not self.transport.is_closing():
+            self.transport.write(data)
+
     def _end(self) -> None:
         """Close after the last answer. What the client still sends is read for a while: a close with unread
         data resets the connection, and the answer with it."""
-        self._ending = True
-        self._queue.clear()
-        if self._message is None:
+        message = self._message
+        if message is None:
+            self._ending = True
+            self._queue.clear()
             self.transport.close()
-            return
-        self.transport.write_eof()
-        self._server.loop.call_later(LINGER_S, self.transport.abort)
+        elif self._ending or message.upload is None or message is not self._taken:
+            self._ending = True
+            self._queue.clear()
+            self.transport.write_eof()
+            self._server.loop.call_later(LINGER_S, self.transport.abort)
+        # Else the rest of its body is read and dropped, at its pace: see `on_message_complete`.
 
     def state(self) -> str:
         """For the log: what this connection is at."""
@@ -320,18 +545,36 @@
         return "reading" if self._message is not None else "idle" if self.served else "silent"
 
     def check(self, now: float) -> None:
-        """Close if the client has been idle, or slow to send its request, for too long."""
-        if self._busy:
-            return
-        if self._ending:
-            if now - self.since > IDLE_S:
-                self.transport.abort()  # guards the descriptors: it does not read its last answer
-        elif self._message is not None and now - self.since > HEAD_S:
-            self._busy = True
-            self._answer_and_close(408)
-        elif self._message is None and now - self.since > (IDLE_S if self.served else HEAD_S):
+        """Close if the client has been idle, or slow to send its request or read its answer, for too long."""
+        message = self._message
+        if self._blocked_at is not None and now - self._blocked_at > READ_S:
+            self.transport.abort()  # guards the descriptors: it does not read its answer
+        elif self._ending:
+            if not self._busy and now - self.since > IDLE_S:
+                self.transport.abort()
+        elif message is not None:
+            if self._paused_at is None and now > self._due(message) and (
+                    not self._busy or message is self._taken):
+                self._late(message)
+        elif not self._busy and now - self.since > (IDLE_S if self.served else HEAD_S):
             self.transport.abort()  # what it has not read by now it will not read
 
+    def _due(self, message: _Message) -> float:
+        """When what has come of a message is too little: a fixed time for its head, a rate for its body."""
+        if not message.headed_at:
+            return self.since + HEAD_S
+        start = max(self.since + HEAD_S, message.headed_at + BODY_S)
+        return start + message.size / BODY_RATE + message.held_s
+
+    def _late(self, message: _Message) -> None:
+        if self.unread():
+            return  # it is we who are late
+        if message.headed_at:
+            self._spoil(408)
+        else:
+            self._reject(408)
+        self._pump()
+
     def idle(self) -> bool:
         """Whether no request is owed its answer or is being read."""
         return not self._busy and self._message is None and not self._queue
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections import deque
 from dataclasses import dataclass
@@ -13,8 +14,8 @@
 from yewstage.net.config import Config
 from yewstage.net.counter import Counter
 from yewstage.net.discovery import Discovery, Listing
-from yewstage.net.hosts import Attempt, Hosts
-from yewstage.net.http1 import Reply
+from yewstage.net.hosts import Attempt, Hosts, Source
+from yewstage.net.http1 import Reply, Upload
 from yewstage.net.stats import Stats
 from yewstage.policy import Gateway
 
@@ -47,6 +48,18 @@
                retry_after_ms: float = 0.0) -> None:
         """Pass the one final answer on."""
 
+    def begin(self, length: int | None, content_type: bytes, source: Source) -> None:
+        """Begin a long answer, whose body comes in parts; None: its length is not known."""
+
+    def more(self, data: bytes) -> None:
+        """Pass a part of it on."""
+
+    def finish(self) -> None:
+        """It is whole."""
+
+    def cut(self) -> None:
+        """It will not become whole, and the client must see that."""
+
 
 @dataclass(slots=True)
 class Order:
@@ -63,12 +76,14 @@
     repeat: bool
     head: bytes  # request line and headers for the host, but for X-Deadline
     body: bytes
+    upload: Upload | None = None  # a body too long to be kept
 
 
 class _Open:
     """A request until it is answered and its last attempt is over."""
 
-    __slots__ = ("id", "client", "order", "taken_at", "end_at", "guard", "attempts", "out")
+    __slots__ = ("id", "client", "order", "taken_at", "end_at", "guard", "attempts", "out", "taken",
+                 "streaming")
 
     def __init__(self, rid: str, client: Client, order: Order, taken_at: float, end_at: float) -> None:
         self.id, self.order, self.taken_at, self.end_at = rid, order, taken_at, end_at
@@ -76,6 +91,8 @@
         self.guard: asyncio.TimerHandle | None = None
         self.attempts: list[Attempt | None] = []  # None: never sent
         self.out = 0
+        self.taken = False  # its last byte has come, and it counts as open
+        self.streaming: Attempt | None = None  # whose answer is on its way to the client
 
 
 class Core:
@@ -88,7 +105,7 @@
         self._gateway = Gateway(config.settings, config.seed)
         self.stats = Stats(c.name for c in config.settings.classes)
         self._most = int(UPSTREAM_SHARE * config.sockets)
-        self._hosts = Hosts(loop, self._most, config.dial_ms, config.idle_ms, self._ended, self._relayed)
+        self._hosts = Hosts(loop, self._most, config.dial_ms, config.idle_ms, self)
         self._discovery = Discovery(loop, config.discovery, self._listed)
         self._counter = (Counter(loop, config.counter, config.settings.count_wait_ms, self._post)
                          if config.counter is not None else None)
@@ -195,20 +212,31 @@
         # The client's time runs from when it sent the request, not from when we came to read it.
         now = time.monotonic()
         left_ms = order.time_left_ms - TRANSIT_MS - self._behind_ms(now)
-        request = _Open(rid, client, order, now, now + (left_ms - GUARD_MS) / 1000)
+        request = _Open(rid, client, order, now, math.inf)
         self._requests[rid] = request
-        self._owed += 1
-        request.guard = self._loop.call_later(max(left_ms - GUARD_MS, 0.0) / 1000, self._guard, request)
+        if order.upload is None:
+            self._take(request, left_ms)
         self._post(api.Request(rid, order.class_name, order.plan_name, order.customer, left_ms - MODULE_MS,
-                               order.units, order.width, order.first, order.repeat))
+                               order.units, order.width, order.first, order.repeat, order.upload is None))
         return rid
 
+    def _take(self, request: _Open, left_ms: float) -> None:
+        """The last byte of a request has come: its time runs from here."""
+        request.taken = True
+        self._owed += 1
+        request.end_at = time.monotonic() + (left_ms - GUARD_MS) / 1000
+        request.guard = self._loop.call_later(max(left_ms - GUARD_MS, 0.0) / 1000, self._guard, request)
+
     def left(self, rid: str) -> None:
         """The client is gone."""
         request = self._requests.get(rid)
         if request is not None and request.client is not None:
+            bound = [a for a in request.attempts if a is not None
+                     and (a is request.streaming or a.upload is not None)]
             self._close(request)
             self._post(api.ClientLeft(rid))
+            for attempt in bound:  # nothing of it can go on without its client
+                self._hosts.cancel(attempt)
 
     def _guard(self, request: _Open) -> None:
         # Guards the first rule: whatever the module or a socket does, the client gets its answer in time.
@@ -216,14 +244,14 @@
         self._give_up(request)
 
     def _give_up(self, request: _Open) -> None:
-        if request.client is not None:
+        if request.client is not None and request.streaming is None:
             self._answer(request, 504, why="ran out")
             self._post(api.ClientLeft(request.id))
 
     def _answer(self, request: _Open | None, status: int, reply: Reply | None = None,
                 retry_after_ms: float = 0.0, why: str = "") -> None:
         """The one final answer; a second one is dropped."""
-        if request is None or request.client is None:
+        if request is None or request.client is None or request.streaming is not None:
             return
         client = request.client
         self._close(request)
@@ -236,8 +264,9 @@
 
     def _close(self, request: _Open) -> None:
         request.client = None
-        self._owed -= 1
-        request.guard.cancel()
+        self._owed -= request.taken
+        if request.guard is not None:
+            request.guard.cancel()
         self._forget(request)
 
     def _forget(self, request: _Open) -> None:
@@ -271,33 +300,67 @@
             self._post(api.Outcome(act.request, number, act.server, api.MOOT, 0.0,
                                    request is None or request.client is None))
             return
-        wait_s = min(act.timeout_ms / 1000, left_s) if act.timeout_ms else left_s
         order = request.order
+        left_s = min(left_s, order.time_left_ms / 1000)  # of a long body, whose time does not run yet
+        wait_s = min(act.timeout_ms / 1000, left_s) if act.timeout_ms else left_s
         payload = b"%bX-Deadline: %dm\r\n\r\n%b" % (order.head, max(wait_s * 1000, 1), order.body)
-        attempt = Attempt(act.request, number, act.server, payload, time.monotonic())
+        attempt = Attempt(act.request, number, act.server, payload, time.monotonic(), order.upload)
         request.attempts.append(attempt)
         request.out += 1
         self._hosts.send(attempt, max(wait_s, 0.0))
 
-    def _ended(self, attempt: Attempt, result: str, reply: Reply | None) -> None:
+    def sent(self, attempt: Attempt) -> None:
+        """An attempt's last byte was written."""
+        self.stats.relayed += 1
+        request = self._requests[attempt.request]
+        if attempt.upload is not None and request.client is not None:
+            self._take(request, request.order.time_left_ms - TRANSIT_MS)
+            self._post(api.Uploaded(request.id))
+
+    def started(self, attempt: Attempt, reply: Reply, length: int | None, source: Source) -> Client | None:
+        """A long answer has begun: it is the client's now, and no time-out of ours ends it."""
+        request = self._requests[attempt.request]
+        if request.client is None or request.streaming is not None:
+            return None
+        request.streaming = attempt
+        request.guard.cancel()
+        request.client.begin(length, reply.headers.get(b"content-type", b""), source)
+        self._post(api.StreamStarted(request.id, attempt.number))
+        return request.client
+
+    def ended(self, attempt: Attempt, result: str, reply: Reply | None) -> None:
+        """An attempt's one end."""
         request = self._requests[attempt.request]
         request.out -= 1
-        # What lay unread while we stalled is not the host's latency.
+        # What lay unread while we stalled is not the host's latency, nor is the way of a long answer.
         now = time.monotonic()
-        took = (now - attempt.sent_at) * 1000
+        took = ((attempt.begun_at or now) - attempt.sent_at) * 1000
         if reply is not None:
             took = max(took - self._behind_ms(now), 0.0)
         units = 0.0
         if result == api.OK:
             units = _number(reply.headers.get(b"billed-units"))
+        if attempt is request.streaming:
+            self._finish_stream(request, result)
+        elif result == api.OK:
             self._answer(request, 200, reply)
         final = request.client is None
         self._forget(request)
         self._post(api.Outcome(attempt.request, attempt.number, attempt.server, result, took, final,
                                true_units=units))
 
-    def _relayed(self) -> None:
-        self.stats.relayed += 1
+    def _finish_stream(self, request: _Open, result: str) -> None:
+        client = request.client
+        if client is None:
+            return
+        self._close(request)
+        if result == api.OK:
+            self.stats.ended(request.order.class_name, 200)
+            client.finish()
+        else:
+            self.stats.ended(request.order.class_name, 502)
+            _tell_story(request, 200, "cut short")
+            client.cut()
 
     def _cancel(self, act: api.Cancel) -> None:
         request = self._requests.get(act.request)
--- a/yewstage/net/http1.py
+++ b/yewstage/net/http1.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import httptools
 
-LONGEST_BODY = 64 * 1024
+LONGEST_BODY = 64 * 1024  # kept whole; what is longer is passed on as it comes
+BUFFER = 128 * 1024  # of a socket that carries such a body
 LONGEST_LIST = 4 * 1024 * 1024
 
 
@@ -20,6 +23,68 @@
     body: bytes
 
 
+def narrow(transport: asyncio.Transport, option: int) -> None:
+    """Bound what the system keeps for a socket in one direction: it grows to megabytes by itself."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, option, BUFFER)
+
+
+class Upload:
+    """A body too long to keep, on its way from a client to a host: each end holds the other back."""
+
+    def __init__(self, length: int | None, hold: Callable[[bool], None]) -> None:
+        self._length, self._hold = length, hold  # no length: sent on in chunks
+        self._waiting: list[bytes] = []  # until there is a connection
+        self._size = 0
+        self._host: ReplyProtocol | None = None
+        self.whole = self._over = False  # its last byte has come; nobody wants the rest
+
+    def feed(self, data: bytes) -> None:
+        """More of it has come."""
+        if self._over:
+            return
+        if self._length is None:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._pass_on(data)
+
+    def finish(self) -> None:
+        """Its last byte has come."""
+        self.whole = True
+        if not self._over:
+            self._pass_on(b"0\r\n\r\n" if self._length is None else b"")
+
+    def attach(self, host: ReplyProtocol, head: bytes) -> None:
+        """Pass it on here from now on, behind its request's head."""
+        self._host = host
+        narrow(host.transport, socket.SO_SNDBUF)
+        waiting, self._waiting = self._waiting, []
+        self._pass_on(b"".join((head, *waiting)))
+
+    def detach(self) -> None:
+        """The attempt is over: the rest is read and dropped."""
+        self._over, self._host = True, None
+        self._waiting.clear()
+        self._hold(False)
+
+    def drained(self) -> None:
+        """All that was passed on has left this process."""
+        self._hold(False)
+
+    def _pass_on(self, data: bytes) -> None:
+        if self._host is None:
+            self._waiting.append(data)
+            self._size += len(data)
+            self._hold(self._size >= LONGEST_BODY)
+            return
+        if self._host.transport.is_closing():
+            return  # its loss will be told
+        if data:
+            self._host.transport.write(data)
+        self._hold(self._host.transport.get_write_buffer_size() > 0)
+        self._host.flushed()
+
+
 def dialled(task: asyncio.Task) -> tuple[ReplyProtocol | None, str]:
     """The connection that a dial came to, or None and why there is none.
 
@@ -59,6 +124,9 @@
         """The connection is gone."""
         raise NotImplementedError
 
+    def flushed(self) -> None:
+        """A part of an upload was written."""
+
     def write(self, data: bytes) -> None:
         """Write, and know whether the last byte has left this process."""
         self.transport.write(data)
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -83,17 +83,19 @@
 
 
 class _Attempt:
-    __slots__ = ("host", "sent", "open", "ran")
+    __slots__ = ("host", "sent", "open", "ran", "works")
 
     def __init__(self, host: _Host, sent: float) -> None:
         self.host, self.sent = host, sent
         self.open = self.ran = True  # may be running until an outcome proves that it never did
+        self.works = True  # its server is at it, as far as we know
 
 
 class _Held:
     """A request that is owed an answer, or whose attempts are still out."""
 
-    __slots__ = ("req", "cls", "use", "aim_at", "end_at", "attempts", "answered", "stream", "work")
+    __slots__ = ("req", "cls", "use", "aim_at", "end_at", "attempts", "answered", "stream", "work",
+                 "loading")
 
     def __init__(self, req: api.Request, cls: api.RequestClass, use: _Use, aim_at: float, end_at: float,
                  work: float) -> None:
@@ -101,6 +103,7 @@
         self.aim_at, self.end_at = aim_at, end_at
         self.attempts: list[_Attempt] = []
         self.answered = self.stream = False
+        self.loading = not req.kept  # its body is on its way
 
 
 class _Use:
@@ -108,7 +111,7 @@
 
     __slots__ = ("plan", "width", "window", "name", "own", "added", "base", "base_own", "base_at", "base_use",
                  "base_left", "most", "left", "left_at", "others", "calling", "in_call", "call_at", "asking",
-                 "open", "elsewhere", "seen", "ceiling", "ceiling_at", "luck")
+                 "open", "elsewhere", "seen", "ceiling", "ceiling_at", "luck", "loading")
 
     def __init__(self, plan: api.Plan, width: int, now: float, age: float) -> None:
         self.plan, self.width, self.seen = plan, width, now
@@ -124,6 +127,7 @@
         self.asking: list[tuple[api.Request, float, float]] = []  # wait for a total: request, aim, end
         self.open = self.elsewhere = 0  # out here; out at the process that handed over
         self.ceiling = self.ceiling_at = 0.0
+        self.loading = 0.0  # units of bodies on their way: taken from our part, not yet from the store
         self.luck = 1.0  # part of our asking that found something left
 
 
@@ -200,6 +204,8 @@
                 self._server_list(event)
             case api.StreamStarted():
                 self._stream_started(event)
+            case api.Uploaded():
+                self._uploaded(self.held.get(event.request))
             case api.ClientLeft():
                 self.asking.pop(event.request, None)
                 self._finish(self.held.get(event.request))
@@ -356,6 +362,7 @@
         self.held[req.id] = held
         self.bank = min(self.bank + RETRY_SHARE, RETRY_BANK)
         use.ceiling -= req.units
+        use.loading += req.units * held.loading
         use.open += 1
         if not over:
             self._spend(use, req.units)
@@ -416,7 +423,7 @@
         if self.q_seen < FEW:
             # Danger: outcomes show a jam an aim late, and fresh gateways would fill it until then. What is
             # out for longer than Qmax of its aim counts as full. Hurts: lost answers press a fresh gateway.
-            late = sum(a.open and self.now - a.sent > Q_MAX * h.cls.aim_ms
+            late = sum(a.works and self.now - a.sent > Q_MAX * h.cls.aim_ms
                        for h in self.held.values() for a in h.attempts)
         self.f = ramp((FEW * self.q + late) / (FEW + late))
         # Staggered ramps: worth per work decides whose ramp f reaches first; the sum over cells stays f.
@@ -527,7 +534,7 @@
             return True
         if self.handed:
             return False
-        full = plan.ceiling_burst / use.width
+        full = plan.ceiling_burst / use.width - use.loading
         gained = (self.now - use.ceiling_at) * plan.ceiling_rate / 1000 / use.width
         use.ceiling = min(full, use.ceiling + gained)
         use.ceiling_at = self.now
@@ -630,8 +637,8 @@
             if not self._may_send(held, host):
                 continue
             warmth = self._warmth(host)
-            if warmth < 1 and not self._cold_room(host, warmth, held.work):
-                continue
+            if warmth < 1 and (held.loading or not self._cold_room(host, warmth, held.work)):
+                continue  # danger: a body on its way is work of a later window
             if host.fails:
                 if host in tried:
                     continue
@@ -669,6 +676,8 @@
             units = max(event.true_units or held.req.units, 1e-6)
             self.latency[held.cls.name] += GAIN / 4 * (event.took_ms / units - self.latency[held.cls.name])
             self.done += 1
+        elif event.result == api.CONNECT_FAILED and held.loading:
+            self._strike(host)  # a long body has many chances to break
         elif event.result == api.CONNECT_FAILED:
             # Danger: a dial may also break on its way; it is death when the trial after a rest fails too.
             host.died = host.died or (host.fails > 0 and self.now >= host.down_until)
@@ -702,6 +711,8 @@
             return False
         if not self.s.second_copies and any(a.open for a in held.attempts):
             return False
+        if held.attempts and not held.req.kept:
+            return False  # its body is gone
         risky = [a for a in held.attempts if a.ran]
         if not risky or held.cls.effect == "safe":
             return True
@@ -721,10 +732,10 @@
         """
         timeout = max(held.aim_at - self.now - self.s.tick_ms, min(1.0, held.end_at - self.now))
         early = max(timeout / 2, PATIENCE * self._usual(held))
-        if (self.lost > LOST and held.cls.effect != "unsafe" and self.bank >= 1
+        if (self.lost > LOST and held.req.kept and held.cls.effect != "unsafe" and self.bank >= 1
                 and len(held.attempts) + 1 < self.s.try_limit and early + self._usual(held) < timeout):
             timeout = early
-        held.attempts.append(_Attempt(host, self.now))
+        held.attempts.append(_Attempt(host, math.inf if held.loading else self.now))
         host.open += 1
         if self._warmth(host) < 1:
             host.credit -= held.work
@@ -751,8 +762,29 @@
 
     def _stream_started(self, event: api.StreamStarted) -> None:
         held = self.held.get(event.request)
-        if held is not None:
-            held.stream = True
+        if held is None or not 0 <= event.attempt < len(held.attempts) or held.stream:
+            return
+        held.stream = True
+        # Danger: how fast the client reads is not its server's load.
+        self._worked(held.attempts[event.attempt])
+        if self.s.cancel:
+            self.out.extend(api.Cancel(held.req.id, i) for i, a in enumerate(held.attempts)
+                            if a.open and i != event.attempt)
+
+    def _uploaded(self, held: _Held | None) -> None:
+        if held is not None and held.loading:
+            self._loaded(held)
+            held.attempts[-1].sent = self.now
+
+    @staticmethod
+    def _loaded(held: _Held) -> None:
+        held.use.loading -= held.req.units * held.loading
+        held.loading = False
+
+    @staticmethod
+    def _worked(attempt: _Attempt) -> None:
+        attempt.host.open -= attempt.works
+        attempt.works = False
 
     def _outcome(self, event: api.Outcome) -> None:
         held = self.held.get(event.request)
@@ -762,11 +794,12 @@
         if not attempt.open:
             return
         attempt.open = False
-        attempt.host.open -= 1
+        self._worked(attempt)
         attempt.ran = event.result not in api.NEVER_RAN
         if event.result != api.MOOT:
             self._sample(held, attempt, event)
             self._judge(held, attempt.host, event)
+        self._loaded(held)
         if event.result == api.OK and event.true_units > 0 and held.use.plan.rate > 0:
             self._spend(held.use, event.true_units - held.req.units)
             self._sync(held.use, held.req.customer)
