Take other settings at SIGHUP whole, or change nothing

A class and the bound on attempts stay with a request from its head on. A dropped class is taken for 1.2 s more, the time in which clients learn of it. The tests of test_retune.py fail without the change.

--- /dev/null
+++ b/tests/test_retune.py
@@ -0,0 +1,258 @@
+"""Other settings at SIGHUP: taken whole or not at all; what is open keeps the rules that it came under."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import json
+import signal
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+from conftest import (
+    GRADES,
+    KEYED,
+    PLAN,
+    SAFE,
+    UNSAFE,
+    Driver,
+    Rig,
+    message,
+    of,
+    on_loop,
+    read_message,
+    reply,
+    settings,
+)
+
+from yewstage import interface as api
+from yewstage.net import clients as clients_module
+from yewstage.net.config import ConfigError, load, reload
+
+
+def raw() -> dict:
+    return {
+        "name": "n0",
+        "listen": "127.0.0.1:1",
+        "discovery": "127.0.0.1:2",
+        "counter": "127.0.0.1:3",
+        "seed": "8c1f",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"generation": 1, "reset": True, "instances": []},
+        "settings": {
+            "grades": copy.deepcopy(GRADES),
+            "packages": [{"name": "team", "refill": 5.0, "burst": 10.0}],
+            "bounds": {"try_limit": 3},
+            "family_info": {"may_count": True},
+        },
+    }
+
+
+def told(folder: Path, text: str) -> dict[str, str]:
+    path = folder / "config.json"
+    path.write_text(text)
+    return {"ROUTER_CONFIG": str(path)}
+
+
+def change(path: str, value: object = None, drop: bool = False) -> Callable[[dict], None]:
+    def apply(tree: dict) -> None:
+        *way, last = path.split(".")
+        for key in way:
+            tree = tree[int(key)] if key.isdigit() else tree[key]
+        if drop:
+            del tree[last]
+        else:
+            tree[last] = value
+
+    return apply
+
+
+@pytest.mark.parametrize(
+    "path",
+    [
+        "name",
+        "listen",
+        "discovery",
+        "counter",
+        "seed",
+        "limits",
+        "limits.sockets",
+        "known",
+        "settings",
+        "settings.grades",
+        "settings.grades.0.deadline_ms",
+        "settings.grades.1.key_scope",
+        "settings.grades.2.effect",
+        "settings.grades.0.name",
+        "settings.grades.0.objective_ms",
+        "settings.bounds",
+        "settings.bounds.try_limit",
+        "settings.packages",
+        "settings.packages.0.refill",
+        "settings.family_info",
+    ],
+)
+def test_a_file_that_lacks_a_key_is_turned_down(tmp_path: Path, path: str) -> None:
+    first = load(told(tmp_path, json.dumps(raw())))
+    tree = raw()
+    change(path, drop=True)(tree)
+    with pytest.raises(ConfigError):
+        reload(told(tmp_path, json.dumps(tree)), first)
+
+
+BAD = [
+    "NaN",
+    "Infinity",
+    "-Infinity",
+    "1e999",
+    "true",
+    '"4000"',
+    "null",
+    "0",
+    "-1",
+    "[4000]",
+    "{}",
+    "1" + "0" * 400,
+]
+
+
+@pytest.mark.parametrize("path", ["settings.grades.1.deadline_ms", "settings.bounds.try_limit"])
+@pytest.mark.parametrize("value", BAD)
+def test_a_value_that_is_no_number_above_0_is_turned_down(tmp_path: Path, path: str, value: str) -> None:
+    first = load(told(tmp_path, json.dumps(raw())))
+    tree = raw()
+    change(path, "HERE")(tree)
+    with pytest.raises(ConfigError):
+        reload(told(tmp_path, json.dumps(tree).replace('"HERE"', value)), first)
+
+
+@pytest.mark.parametrize("text", ["", "   ", json.dumps(raw())[:-40], "[]", "null", "[" * 100_000, "\udc80"])
+def test_a_file_that_is_not_whole_is_turned_down(tmp_path: Path, text: str) -> None:
+    first = load(told(tmp_path, json.dumps(raw())))
+    (tmp_path / "config.json").write_bytes(text.encode("utf-8", "surrogateescape"))
+    with pytest.raises(ConfigError):
+        reload({"ROUTER_CONFIG": str(tmp_path / "config.json")}, first)
+
+
+@pytest.mark.parametrize(
+    "tune",
+    [
+        change("settings.bounds.try_limit", 1),
+        change("settings.grades.0.effect", "unsafe"),
+        change(
+            "settings.grades", [{"name": "new", "objective_ms": 900, "deadline_ms": 2000.5, "effect": "safe"}]
+        ),
+        change("ops", "127.0.0.1:9"),
+        change("known.instances", [{"instanceId": "s", "hostPort": "127.0.0.1:4"}]),
+    ],
+)
+def test_a_file_with_other_classes_is_taken(tmp_path: Path, tune: Callable[[dict], None]) -> None:
+    first = load(told(tmp_path, json.dumps(raw())))
+    tree = raw()
+    tune(tree)
+    assert reload(told(tmp_path, json.dumps(tree)), first).settings.classes
+
+
+def test_classes_come_and_go_while_requests_are_open(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, lambda seen: None if seen.line.startswith("GET") else reply(b"ok")) as rig:
+
+            async def hup(text: str) -> None:
+                rig.path.write_text(text)
+                before = await rig.figures()
+                rig.process.send_signal(signal.SIGHUP)
+                while await rig.figures() == before:
+                    await asyncio.sleep(0.01)
+
+            reader, writer = await rig.connect()
+            writer.write(message("read"))
+            await rig.hosts[0].until(lambda fake: bool(fake.seen))
+            tree = copy.deepcopy(rig.config)
+            put, new = dict(GRADES[1]), {**GRADES[0], "name": "new", "effect": "unsafe"}
+            tree["settings"]["grades"] = [put, new]
+            for bad in ("", json.dumps(tree)[:-9], json.dumps(tree).replace("6000.0", "NaN")):
+                await hup(bad)
+                assert await rig.status(message("new", key=False)) == 400
+            await hup(json.dumps(tree))
+            figures = await rig.figures()
+            assert (figures["gateway_cfg_accepted_total"], figures["gateway_cfg_invalid_total"]) == (1, 3)
+            assert figures['gateway_fulfilled_total{priority="new"}'] == 0
+            assert await rig.status(message("new", key=False)) == 200
+            assert await rig.status(message("put")) == 200
+            while await rig.status(message("pay", key=False)) != 400:
+                await asyncio.sleep(0.05)
+            rig.hosts[0].seen[0].writer.write(reply(b"old"))  # its class is gone, its request is not
+            assert (await read_message(reader, writer)).body == b"old"
+            figures = await rig.figures()
+            assert figures['gateway_fulfilled_total{priority="read"}'] == 1
+            assert figures['gateway_fulfilled_total{priority="new"}'] == 1
+            writer.close()
+
+    on_loop(scenario)
+
+
+def test_a_dropped_class_is_taken_a_little_longer() -> None:
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        core = type("Core", (), {"settings": settings()})
+        server = clients_module.Server(core, loop, 100)
+        timers = []
+        server.loop = type("Loop", (), {"call_later": lambda s, wait, *call: timers.append((wait, call))})()
+        server.retune(clients_module.Names(settings(classes=(SAFE,))))
+        assert set(server.names.classes) == {b"read", b"put", b"pay"}
+        ((wait, (call, *args)),) = timers
+        call(*args)
+        assert wait == clients_module.DROPPED_S and set(server.names.classes) == {b"read"}
+
+    on_loop(scenario)
+
+
+def test_an_open_request_keeps_its_effect_and_its_attempts() -> None:
+    d = Driver(may_count=False)
+    rid, out = d.ask("read")
+    (first,) = of(out, api.Send)
+    d.give(
+        api.Retuned(settings(classes=(api.RequestClass("read", 1000, 4000, effect="unsafe"),), try_limit=1))
+    )
+    assert of(d.end(rid, api.RESET), api.Send)  # safe to repeat, as it was when it came
+    later, out = d.ask("read")
+    assert of(out, api.Send) and not of(d.end(later, api.RESET), api.Send)
+
+
+def test_a_request_that_came_before_keeps_the_class_it_came_with() -> None:
+    d = Driver(may_count=False)
+    d.give(api.Retuned(settings(classes=(UNSAFE,))))
+    out = d.give(api.Request("r", "read", "open", "c", 4000, cls=SAFE))
+    assert (
+        of(out, api.Send)
+        and of(d.give(api.Outcome("r", 0, of(out, api.Send)[0].server, api.OK, 5, True)), api.Fail) == []
+    )
+    assert isinstance(d.give(api.Request("s", "read", "open", "c", 4000))[0], api.Refuse)
+
+
+def test_a_request_that_waits_for_a_total_outlives_its_class() -> None:
+    d = Driver()
+    rid, out = d.ask("read", plan="basic")
+    if not of(out, api.Count):
+        rid, out = d.ask("read", plan="basic")
+    (count,) = of(out, api.Count)
+    d.give(api.Retuned(settings(classes=(KEYED,))))
+    d.give(api.CountReply(count.name, api.OK, 1))
+    assert any(isinstance(a, (api.Send, api.Refuse)) and a.request == rid for _, a in d.log)
+
+
+def test_quota_health_and_pressure_survive() -> None:
+    d = Driver(may_count=False)
+    sent = sum(bool(of(d.ask(plan="basic", width=1)[1], api.Send)) for _ in range(20))
+    gateway = d.gateway
+    gateway.hosts["h1"].fails, gateway.q = 3, 0.3
+    before = gateway.uses["c"].own
+    d.give(
+        api.Retuned(settings(may_count=False, plans=(api.Plan("basic", rate=2, burst=6), api.Plan("other"))))
+    )
+    assert (gateway.hosts["h1"].fails, gateway.q, gateway.uses["c"].own) == (3, 0.3, before)
+    assert sent and not of(d.ask(plan="basic", width=1)[1], api.Send)
+    d.give(api.Retuned(settings(may_count=False, plans=(api.Plan("basic", rate=3, burst=6),))))
+    assert not of(d.ask(plan="basic", width=1)[1], api.Send)  # its use counts under the new rate, too
+    assert gateway.uses["c"].plan is gateway.plans["basic"] != PLAN
--- a/yewstage/__main__.py
+++ b/yewstage/__main__.py
@@ -13,7 +13,7 @@
 
 import uvloop
 
-from yewstage.net.clients import Server
+from yewstage.net.clients import Names, Server
 from yewstage.net.config import Config, ConfigError, load, reload
 from yewstage.net.core import Core
 from yewstage.net.handover import Handover
@@ -112,8 +112,6 @@
                  succession: Succession) -> None:
         self._core, self._server, self._loop, self._succession = core, server, loop, succession
         self.done = asyncio.Event()
-        longest = max(c.deadline_ms for c in core.settings.classes) / 1000
-        self._last_s = min(longest, LONGEST_S) + LAST_S
 
     def begin(self) -> None:
         """The signal."""
@@ -121,7 +119,8 @@
             return
         logging.info("draining")
         self._core.draining = True
-        self._loop.call_later(self._last_s, self._end)
+        longest = max(c.deadline_ms for c in self._core.settings.classes) / 1000
+        self._loop.call_later(min(longest, LONGEST_S) + LAST_S, self._end)
         if self._succession.hand_over():
             self._server.stop_accepting(succeeded=True)
             self._check()
@@ -145,15 +144,19 @@
         self._loop.call_later(CHECK_S, self.done.set)
 
 
-def _reconfigure(core: Core) -> None:
+def _reconfigure(core: Core, server: Server, first: Config) -> None:
     """SIGHUP: take what the configuration says now; one that is no good changes nothing."""
     try:
-        config = reload(os.environ)
+        config = reload(os.environ, first)
+        names = Names(config.settings)
     except ConfigError as error:
         core.stats.invalid += 1
         logging.error("configuration not taken: %s", error)
         return
-    logging.info("reconfigured: discovery %s, counter %s", config.discovery, config.counter)
+    settings = config.settings
+    logging.info("reconfigured: discovery %s, counter %s, classes %s, %d attempts", config.discovery,
+                 config.counter, ", ".join(c.name for c in settings.classes), settings.try_limit)
+    server.retune(names)
     core.reconfigure(config)
     core.stats.accepted += 1
 
@@ -175,7 +178,7 @@
     shutdown = Shutdown(core, server, loop, succession)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, shutdown.begin)
-    loop.add_signal_handler(signal.SIGHUP, _reconfigure, core)
+    loop.add_signal_handler(signal.SIGHUP, _reconfigure, core, server, config)
     core.start()
     ops = Ops(loop, core.ready, core.figures)
     if config.ops is not None:
--- a/yewstage/interface.py
+++ b/yewstage/interface.py
@@ -135,6 +135,7 @@
     first: int = 0  # number of the first of them
     repeat: bool = False
     kept: bool = True  # its body is kept; else it is passed on once, as it comes: see `Uploaded`
+    cls: RequestClass | None = None  # its class as it was when the request came; None: as it is
 
 
 @dataclass(slots=True, frozen=True)
@@ -209,6 +210,13 @@
     data: bytes
 
 
+@dataclass(slots=True, frozen=True)
+class Retuned:
+    """Other settings hold from now on, for what comes; what is open keeps the rules that it came under."""
+
+    settings: Settings
+
+
 @dataclass(slots=True, frozen=True)
 class TakenOver:
     """New work begins here, after another process of this gateway: what its `hand_over` gave, or None."""
@@ -287,5 +295,5 @@
 
 
 Event = (ServerList | Request | Outcome | StreamStarted | Uploaded | ClientLeft | TimerDue | CountReply
-         | ProbeReply | PeerMessage | TakenOver | PredecessorGone)
+         | ProbeReply | PeerMessage | Retuned | TakenOver | PredecessorGone)
 Action = Send | Refuse | Fail | Cancel | Timer | Count | Subscribe | Log
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -34,6 +34,7 @@
 SPARE_S = 2.0  # a connection idle for longer gives its place to a new client
 LINGER_S = 1.0  # how long the rest of a rejected request is read before its connection is closed
 SWEEP_S = 0.2
+DROPPED_S = 1.2  # how long clients may still use a class after it was dropped
 ACCEPT_PAUSE_S = 0.05
 TELL_S = 5.0  # spacing of the log's word that there is no room
 
@@ -106,7 +107,7 @@
         raise BadRequestError("X-Deadline")
     time_left_ms = float(deadline[1]) / (1 if deadline[2] == b"m" else 1000)
     units, width, first = _quota_info(headers.get(b"quota-info", b""))
-    return Order(headers.get(b"x-request-id", b"").decode("latin-1"), cls.name, plan,
+    return Order(headers.get(b"x-request-id", b"").decode("latin-1"), cls, plan,
                  customer.decode().lower(), time_left_ms, units, width, first,
                  headers.get(b"x-retry") == b"1", _head(message, cls), b"")
 
@@ -604,6 +605,18 @@
         self._pending: set[asyncio.Task] = set()
         self._told_at = -TELL_S
 
+    def retune(self, names: Names) -> None:
+        """Take the classes and plans of new settings; a dropped class is still taken for a while."""
+        late = Names(api.Settings(()))
+        late.classes = {**self.names.classes, **names.classes}
+        late.plans = names.plans
+        self.names = late
+        self.loop.call_later(DROPPED_S, self._drop, late, names)
+
+    def _drop(self, late: Names, names: Names) -> None:
+        if self.names is late:  # else they were changed again
+            self.names = names
+
     def now(self) -> float:
         """The loop's time."""
         return self.loop.time()
--- a/yewstage/net/config.py
+++ b/yewstage/net/config.py
@@ -14,7 +14,9 @@
 
 Address = tuple[str, int]
 DEFAULT_SOCKETS = 1024
-LEAST_SOCKETS = 128  # leaves a reserve beside clients, hosts, counter, discovery and the loop's own
+LEAST_SOCKETS = 64  # leaves a reserve beside clients, hosts, counter, discovery, operators and the loop's own
+STEADY = {"name": "ROUTER_NAME", "listen": "ROUTER_LISTEN", "ops": "ROUTER_OPS"}  # for the process's life
+LARGEST = 1e12  # no time in milliseconds and no count is larger
 
 
 class ConfigError(ValueError):
@@ -35,38 +37,67 @@
     sockets: int
     settings: api.Settings
     known: Listing
+    keys: frozenset[str]  # all that the file holds, by path
     dial_ms: float
     idle_ms: float
 
 
 def load(environ: Mapping[str, str]) -> Config:
     """The configuration that `ROUTER_CONFIG` names; the single variables go before the file."""
-    return _load(environ, {"name": "ROUTER_NAME", "listen": "ROUTER_LISTEN", "discovery": "ROUTER_DISCOVERY",
-                           "ops": "ROUTER_OPS"})
+    raw, keys = _read(environ)
+    return _parse(raw, environ, {**STEADY, "discovery": "ROUTER_DISCOVERY"}, keys)
 
 
-def reload(environ: Mapping[str, str]) -> Config:
-    """The configuration again: `ROUTER_DISCOVERY` is as old as this process, the file is what is new."""
-    return _load(environ, {"name": "ROUTER_NAME", "listen": "ROUTER_LISTEN", "ops": "ROUTER_OPS"})
+def reload(environ: Mapping[str, str], first: Config) -> Config:
+    """The configuration again: `ROUTER_DISCOVERY` is as old as this process, the file is what is new.
 
+    It must be whole: what the first one held may not be missing, though a start would do without it.
+    """
+    raw, keys = _read(environ)
+    missing = sorted(first.keys - keys)
+    if missing:
+        raise ConfigError(f"{missing[0]}: is missing")
+    _check_classes(_object(raw, "settings"))
+    return _parse(raw, environ, STEADY, keys)
 
-def _load(environ: Mapping[str, str], variables: Mapping[str, str]) -> Config:
+
+def _read(environ: Mapping[str, str]) -> tuple[dict[str, object], frozenset[str]]:
+    """The file's object, and the paths of its keys."""
     path = environ.get("ROUTER_CONFIG")
     if not path:
         raise ConfigError("ROUTER_CONFIG: is not set")
     try:
-        raw = json.loads(Path(path).read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
+        raw = json.loads(Path(path).read_text(encoding="utf-8"), parse_constant=_no_number)
+    except (OSError, ValueError, RecursionError) as error:
         raise ConfigError(f"ROUTER_CONFIG: cannot be read: {error}") from None
     if not isinstance(raw, dict):
         raise ConfigError("ROUTER_CONFIG: must hold a JSON object")
+    return raw, frozenset(_keys("", raw))
+
+
+def _parse(raw: dict[str, object], environ: Mapping[str, str], variables: Mapping[str, str],
+           keys: frozenset[str]) -> Config:
     for field, variable in variables.items():
         if environ.get(variable):
             raw[field] = environ[variable]
-    return parse(raw, _descriptor(environ))
+    return parse(raw, _descriptor(environ), keys)
+
+
+def _no_number(text: str) -> float:
+    raise ValueError(f"{text} is not a number")
 
 
-def parse(raw: dict[str, object], listen_fd: int | None = None) -> Config:
+def _keys(path: str, value: object) -> Iterator[str]:
+    """The paths of all keys. Of a list's entries only what is common to all of them; classes may differ."""
+    if isinstance(value, dict) and path != "known.":
+        for key, item in value.items():
+            yield f"{path}{key}"
+            yield from _keys(f"{path}{key}.", item)
+    elif isinstance(value, list) and value and path not in ("known.", "settings.grades."):
+        yield from set.intersection(*(set(_keys(path, entry)) for entry in value))
+
+
+def parse(raw: dict[str, object], listen_fd: int | None = None, keys: frozenset[str] = frozenset()) -> Config:
     """The object of the file as a `Config`."""
     pairs = dict(_flatten("", _object(raw, "settings")))
     settings = _settings(pairs)
@@ -81,7 +112,7 @@
         name=str(raw.get("name", "")), listen=address(raw, "listen"), discovery=address(raw, "discovery"),
         counter=address(raw, "counter") if counter else None,
         ops=address(raw, "ops") if raw.get("ops") else None, listen_fd=listen_fd, seed=_seed(raw),
-        sockets=_sockets(raw), settings=settings, known=known,
+        sockets=_sockets(raw), settings=settings, known=known, keys=keys,
         dial_ms=_positive(pairs, "bounds.dial_timeout_ms", 250.0),
         idle_ms=_positive(pairs, "bounds.conn_idle_ms", 15000.0))
 
@@ -103,6 +134,38 @@
     return host.strip("[]"), int(port)
 
 
+def _check_classes(settings: dict[str, object]) -> None:
+    """Classes and attempts must say what they are: a default would promise too much, or be taken for zero."""
+    grades = settings.get("grades")
+    if not isinstance(grades, list) or not grades or not all(isinstance(grade, dict) for grade in grades):
+        raise ConfigError("settings: grades: must be a list of classes")
+    for i, grade in enumerate(grades):
+        wanted = ["name", "objective_ms", "deadline_ms", "effect"]
+        if grade.get("effect") == "keyed":
+            wanted += ["key_scope", "window_ms"]
+        for key in wanted:
+            if grade.get(key) is None:
+                raise ConfigError(f"settings: grades[{i}].{key}: is missing")
+        for key in ("objective_ms", "deadline_ms"):
+            _above_zero(grade[key], f"settings: grades[{i}].{key}")
+    names = [grade["name"] for grade in grades]
+    if not all(isinstance(name, str) and name and name.isascii() and name.isprintable() for name in names):
+        raise ConfigError("settings: grades: every class needs a name in plain characters")
+    if len(set(names)) < len(names):
+        raise ConfigError("settings: grades: two classes have one name")
+    bounds = settings.get("bounds")
+    if isinstance(bounds, dict) and "try_limit" in bounds:
+        _above_zero(bounds["try_limit"], "settings: bounds.try_limit")
+        if bounds["try_limit"] != int(bounds["try_limit"]):
+            raise ConfigError("settings: bounds.try_limit: must be a whole number")
+
+
+def _above_zero(value: object, field: str) -> None:
+    number = isinstance(value, (int, float)) and not isinstance(value, bool)
+    if not number or not 0 < value < LARGEST:
+        raise ConfigError(f"{field}: {value!r} is not a number above 0")
+
+
 def _object(raw: Mapping[str, object], field: str) -> dict[str, object]:
     value = raw.get(field)
     if not isinstance(value, dict):
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -66,7 +66,7 @@
     """A valid request of a client: what the module is told, and what goes on to a host."""
 
     client_id: str  # X-Request-Id, by which the log names it
-    class_name: str
+    cls: api.RequestClass  # as it was when the request came
     plan_name: str
     customer: str
     time_left_ms: float
@@ -83,9 +83,11 @@
     """A request until it is answered and its last attempt is over."""
 
     __slots__ = ("id", "client", "order", "taken_at", "end_at", "guard", "attempts", "out", "taken",
-                 "streaming")
+                 "streaming", "most")
 
-    def __init__(self, rid: str, client: Client, order: Order, taken_at: float, end_at: float) -> None:
+    def __init__(self, rid: str, client: Client, order: Order, taken_at: float, end_at: float,
+                 most: int) -> None:
+        self.most = most  # attempts, as the settings had it when the request came
         self.id, self.order, self.taken_at, self.end_at = rid, order, taken_at, end_at
         self.client: Client | None = client  # None: answered, or gone
         self.guard: asyncio.TimerHandle | None = None
@@ -136,7 +138,10 @@
         self._loop.call_later(BEAT_S, self._beat)
 
     def reconfigure(self, config: Config) -> None:
-        """Go on with discovery and the counter where the new configuration says they are."""
+        """Go on by the new settings, and with discovery and the counter where they are now."""
+        self.settings = config.settings
+        self.stats.know(c.name for c in config.settings.classes)
+        self._post(api.Retuned(config.settings))
         self._discovery.move(config.discovery)
         if self._counter is not None and config.counter is not None:
             self._counter.move(config.counter)
@@ -212,12 +217,13 @@
         # The client's time runs from when it sent the request, not from when we came to read it.
         now = time.monotonic()
         left_ms = order.time_left_ms - TRANSIT_MS - self._behind_ms(now)
-        request = _Open(rid, client, order, now, math.inf)
+        request = _Open(rid, client, order, now, math.inf, self.settings.try_limit)
         self._requests[rid] = request
         if order.upload is None:
             self._take(request, left_ms)
-        self._post(api.Request(rid, order.class_name, order.plan_name, order.customer, left_ms - MODULE_MS,
-                               order.units, order.width, order.first, order.repeat, order.upload is None))
+        self._post(api.Request(rid, order.cls.name, order.plan_name, order.customer, left_ms - MODULE_MS,
+                               order.units, order.width, order.first, order.repeat, order.upload is None,
+                               order.cls))
         return rid
 
     def _take(self, request: _Open, left_ms: float) -> None:
@@ -255,7 +261,7 @@
             return
         client = request.client
         self._close(request)
-        self.stats.ended(request.order.class_name, status)
+        self.stats.ended(request.order.cls.name, status)
         if reply is None:
             _tell_story(request, status, why)
             client.answer(status, retry_after_ms=retry_after_ms)
@@ -294,7 +300,7 @@
         request = self._requests.get(act.request)
         number = len(request.attempts) if request is not None else 0
         left_s = request.end_at - time.monotonic() if request is not None else 0.0
-        if request is None or request.client is None or left_s <= 0 or number >= self.settings.try_limit:
+        if request is None or request.client is None or left_s <= 0 or number >= request.most:
             if request is not None:
                 request.attempts.append(None)
             self._post(api.Outcome(act.request, number, act.server, api.MOOT, 0.0,
@@ -355,10 +361,10 @@
             return
         self._close(request)
         if result == api.OK:
-            self.stats.ended(request.order.class_name, 200)
+            self.stats.ended(request.order.cls.name, 200)
             client.finish()
         else:
-            self.stats.ended(request.order.class_name, 502)
+            self.stats.ended(request.order.cls.name, 502)
             _tell_story(request, 200, "cut short")
             client.cut()
 
@@ -426,7 +432,7 @@
     """A badly ended request in one line: what it was, why it ended so, and each attempt on the way."""
     order, took_ms = request.order, (time.monotonic() - request.taken_at) * 1000
     log.info("%s %s %s of %s (%g units, %.0f ms left): %d %s after %.0f ms; attempts: %s", order.client_id,
-             order.class_name, order.plan_name, order.customer, order.units, order.time_left_ms, status, why,
+             order.cls.name, order.plan_name, order.customer, order.units, order.time_left_ms, status, why,
              took_ms, "; ".join("not sent" if a is None else str(a) for a in request.attempts) or "none")
 
 
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -95,11 +95,11 @@
     """A request that is owed an answer, or whose attempts are still out."""
 
     __slots__ = ("req", "cls", "use", "aim_at", "end_at", "attempts", "answered", "stream", "work",
-                 "loading")
+                 "loading", "most")
 
     def __init__(self, req: api.Request, cls: api.RequestClass, use: _Use, aim_at: float, end_at: float,
-                 work: float) -> None:
-        self.req, self.cls, self.use, self.work = req, cls, use, work
+                 work: float, most: int) -> None:
+        self.req, self.cls, self.use, self.work, self.most = req, cls, use, work, most
         self.aim_at, self.end_at = aim_at, end_at
         self.attempts: list[_Attempt] = []
         self.answered = self.stream = False
@@ -124,7 +124,8 @@
         self.others = plan.rate / 1000 * (1 - 1 / width)  # estimate of the others' use, units per ms
         # Danger: a gateway back from the dead has spent what it no longer knows. It earns its split anew.
         self.left, self.left_at = min(plan.burst, plan.rate * age / 1000) / width, now
-        self.asking: list[tuple[api.Request, float, float]] = []  # wait for a total: request, aim, end
+        # Wait for a total: request, class, aim, end.
+        self.asking: list[tuple[api.Request, api.RequestClass, float, float]] = []
         self.open = self.elsewhere = 0  # out here; out at the process that handed over
         self.ceiling = self.ceiling_at = 0.0
         self.loading = 0.0  # units of bodies on their way: taken from our part, not yet from the store
@@ -158,7 +159,7 @@
         self.asking: dict[str, str] = {}  # requests that wait for a total -> customer
         self.cells: dict[tuple[str, str], _Cell] = {}
         self.latency = {c.name: c.aim_ms / 10 for c in settings.classes}  # usual latency per unit
-        self.lefts = {c.name: deque(maxlen=TRIES) for c in settings.classes}  # times left of the last tries
+        self.lefts: dict[str, deque[float]] = {}  # times left of the last tries, by class
         self.now = 0.0
         self.born: float | None = None
         self.sweep_due = 0.0
@@ -209,6 +210,8 @@
             case api.ClientLeft():
                 self.asking.pop(event.request, None)
                 self._finish(self.held.get(event.request))
+            case api.Retuned():
+                self._retune(event.settings)
             case api.TakenOver():
                 self._take_over(event.state)
             case api.PredecessorGone():
@@ -239,6 +242,22 @@
         """How many servers are listed, and how many of these get no ordinary work now."""
         return len(self.hosts), sum(1 for h in self.hosts.values() if not h.up or h.fails)
 
+    # --- Retuning ------------------------------------------------------------------------------------------
+
+    def _retune(self, settings: api.Settings) -> None:
+        """Other classes, plans and bounds; what was learnt of customers, hosts and pressure stays."""
+        classes = {c.name: c for c in settings.classes}
+        same = {name for name, cls in classes.items() if self.classes.get(name) == cls}
+        waiting = {cls.name for use in self.uses.values() for _, cls, _, _ in use.asking}
+        known = {*classes, *waiting, *(held.cls.name for held in self.held.values())}
+        self.s, self.classes = settings, classes
+        # One that is the same is the same object, by which a customer's use is known.
+        self.plans = {p.name: self.plans[p.name] if self.plans.get(p.name) == p else p
+                      for p in settings.plans}
+        self.latency = {name: value for name, value in self.latency.items() if name in known}
+        self.lefts = {name: recent for name, recent in self.lefts.items() if name in same}
+        self.cells = {key: cell for key, cell in self.cells.items() if key[0] in classes}
+
     # --- Upgrades ------------------------------------------------------------------------------------------
 
     def hand_over(self) -> dict[str, object]:
@@ -268,7 +287,7 @@
             return
         try:
             own = {name: _finite(state["own"][name]) for name in HANDED}
-            latency = {name: _finite(v) for name, v in state["latency"].items() if name in self.latency}
+            latency = {name: _finite(v) for name, v in state["latency"].items() if name in self.classes}
             hosts = {name: [_finite(v) for v in values] for name, values in state["hosts"].items()
                      if len(values) == len(HANDED_HOST)}
             uses = {customer: self._handed_use(values) for customer, values in state["uses"].items()
@@ -300,12 +319,13 @@
     # --- Admission (SiRED) ------------------------------------------------------------------------------
 
     def _request(self, req: api.Request) -> None:
-        cls, plan = self.classes.get(req.class_name), self.plans.get(req.plan_name)
+        cls, plan = req.cls or self.classes.get(req.class_name), self.plans.get(req.plan_name)
         if req.id in self.held or req.id in self.asking:
             return
         if cls is None or plan is None or req.time_left_ms <= 0 or not self.hosts:
             self.out.append(api.Refuse(req.id, why="no host" if not self.hosts else "unservable"))
             return
+        self.latency.setdefault(cls.name, cls.aim_ms / 10)
         end_at = self.now + req.time_left_ms
         aim_at = end_at if cls.late_worth > 0 else min(self.now + cls.aim_ms - self._spent(req, cls), end_at)
         if aim_at <= self.now:
@@ -320,7 +340,7 @@
                 return
             # Exception to refusing at once: the total that settles it is a few ms away.
             self.asking[req.id] = req.customer
-            use.asking.append((req, aim_at, end_at))
+            use.asking.append((req, cls, aim_at, end_at))
             self._sync(use, req.customer, req.units)
         else:
             self._decide(req, cls, use, aim_at, end_at, False)
@@ -332,7 +352,7 @@
         shorter one was cut by the class's deadline. Hurts: clients with a short patience of their own; so it
         acts only while a third of the last tries agree on the usual time, and takes what the deadline shows.
         """
-        recent = self.lefts[cls.name]
+        recent = self.lefts.setdefault(cls.name, deque(maxlen=TRIES))
         recent.append(req.time_left_ms)
         usual = sorted(recent)[len(recent) * 7 // 10]
         if self.s.marks_retry and not req.repeat:
@@ -354,7 +374,8 @@
         if not fits or not self._ceiling_has(use, req.units):
             self._refuse_new(req, use, "quota" if over else "ceiling" if fits else "pressed")
             return
-        held = _Held(req, cls, use, aim_at, end_at, self.latency[cls.name] * max(req.units, 0.0))
+        held = _Held(req, cls, use, aim_at, end_at, self.latency[cls.name] * max(req.units, 0.0),
+                     self.s.try_limit)
         host = self._pick(held) if held.aim_at > self.now else None
         if host is None:
             self._refuse_new(req, use, "quota" if over else "no host")
@@ -440,6 +461,8 @@
     def _use(self, req: api.Request, plan: api.Plan) -> _Use:
         use = self.uses.get(req.customer)
         width = max(1, min(req.width, self.s.fleet_size))
+        if use is not None and use.plan is not plan and use.plan.name == plan.name:
+            use.plan = plan  # the plan was retuned: what the customer has used stays used
         if use is None or use.plan is not plan:
             if use is not None:
                 self._settle(use)
@@ -577,9 +600,9 @@
         if waiting:  # danger: all gateways ask again and again for a customer who floods them
             found = use.left >= waiting[0][0].units
             use.luck = max(use.luck + HEED * (found - use.luck), 1 / use.width)
-        for req, aim_at, end_at in waiting:
+        for req, cls, aim_at, end_at in waiting:
             if self.asking.pop(req.id, None) is not None:
-                self._decide(req, self.classes[req.class_name], use, aim_at, end_at, True)
+                self._decide(req, cls, use, aim_at, end_at, True)
 
     def _read(self, use: _Use, total: float) -> None:
         """A total: what the others used since the last one comes off what is left."""
@@ -707,7 +730,7 @@
 
     def _may_send(self, held: _Held, host: _Host) -> bool:
         """The rules on drains and repeats, for every send."""
-        if not host.up or len(held.attempts) >= self.s.try_limit or held.answered or held.stream:
+        if not host.up or len(held.attempts) >= held.most or held.answered or held.stream:
             return False
         if not self.s.second_copies and any(a.open for a in held.attempts):
             return False
@@ -733,7 +756,7 @@
         timeout = max(held.aim_at - self.now - self.s.tick_ms, min(1.0, held.end_at - self.now))
         early = max(timeout / 2, PATIENCE * self._usual(held))
         if (self.lost > LOST and held.req.kept and held.cls.effect != "unsafe" and self.bank >= 1
-                and len(held.attempts) + 1 < self.s.try_limit and early + self._usual(held) < timeout):
+                and len(held.attempts) + 1 < held.most and early + self._usual(held) < timeout):
             timeout = early
         held.attempts.append(_Attempt(host, math.inf if held.loading else self.now))
         host.open += 1
