Short of places, end connections with their answer and let stalled half requests go

Suspected: the CPU share used up, a slow loop, or clients that wait for a place. Ruled out: the first two by the figures, each call to operators answered in time and answers passed on after 0.2 ms. The log: "no room for more clients: 58 idle, 22 reading, 13 silent, 1 open". Clients come on new connections and leave the old ones open, under 2 s each.

From 70% of the places on, an answer ends its connection. With no place left, what brought no request and was silent for half a second gives way, too; one whose bytes wait to be read does not.

--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import time
 from collections.abc import Callable
@@ -177,6 +178,52 @@
     on_loop(scenario)
 
 
+def test_answers_end_their_connection_only_while_places_are_short(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        host = Fake(lambda seen: None)
+        core, script = await core_with(monkeypatch, host)
+        server = clients_module.Server(core, asyncio.get_running_loop(), 20)  # room for ten clients
+        address = server.start((LOOP, 0))
+        server.accept()
+        closes, kept = [], []
+        for i in range(10):
+            reader, writer = await asyncio.open_connection(*address)
+            kept.append(writer)
+            script.plan[api.Request] = [api.Refuse(f"r{i + 1}")]
+            writer.write(message())
+            closes.append((await read_message(reader, writer)).headers.get("connection"))
+        assert closes == [None] * 7 + ["close"] * 3
+        server.stop_accepting()
+        host.stop()
+    on_loop(scenario)
+
+
+def test_what_brings_no_request_gives_way_before_what_may(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        host = Fake(lambda seen: None)
+        core, script = await core_with(monkeypatch, host)
+        server = clients_module.Server(core, asyncio.get_running_loop(), 10)  # room for five clients
+        address = server.start((LOOP, 0))
+        server.accept()
+        opened = [await asyncio.open_connection(*address) for _ in range(4)]
+        for i in (0, 2):  # one with a request that is open, one that has just brought the half of one
+            opened[i][1].write(message()[:None if i == 0 else 40])
+        while {c.state() for c in server.connections} != {"open", "reading", "silent"}:
+            await asyncio.sleep(0.01)
+        for connection in server.connections:
+            connection.heard_at -= 10 * clients_module.STALE_S * (connection.state() == "silent")
+        newer = [await asyncio.open_connection(*address) for _ in range(2)]
+        for i in (1, 3):
+            with contextlib.suppress(ConnectionResetError):
+                assert await opened[i][0].read() == b""  # the silent ones went
+        assert not opened[0][0].at_eof() and not opened[2][0].at_eof()
+        for _, writer in opened + newer:
+            writer.close()
+        server.stop_accepting()
+        host.stop()
+    on_loop(scenario)
+
+
 class Told:
     """Notes how attempts end."""
 
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -32,6 +32,8 @@
 READ_S = 30.0  # a client that takes nothing of its answer for so long is gone
 IDLE_S = 75.0  # how long an idle connection is kept while there is room
 SPARE_S = 2.0  # a connection idle for longer gives its place to a new client
+STALE_S = 0.5  # so does one that has not brought a request yet, once nothing came on it for so long
+CROWDED = 0.7  # of the places: from here on no answered client keeps its own
 LINGER_S = 1.0  # how long the rest of a rejected request is read before its connection is closed
 SWEEP_S = 0.2
 DROPPED_S = 1.2  # how long clients may still use a class after it was dropped
@@ -450,7 +452,7 @@
         """Whether the connection goes on behind the answer that is due."""
         if self._taken is None or not (self._taken.keep_alive and self._taken.whole):
             return False
-        return bool(self._queue) or not (self._ending or self._core.draining)
+        return bool(self._queue) or not (self._ending or self._core.draining or self._server.crowded())
 
     def _answered(self) -> None:
         self._open, self._busy, self._source = None, False, None
@@ -580,6 +582,14 @@
         """Whether no request is owed its answer or is being read."""
         return not self._busy and self._message is None and not self._queue
 
+    def spare(self, now: float) -> bool:
+        """Whether another client has a better claim to this place: nobody waits for anything here."""
+        if self._busy or self.transport.is_closing():
+            return False
+        if self.served:
+            return self.idle() and now - self.since >= SPARE_S
+        return now - self.heard_at >= STALE_S and not self.unread()
+
     def unread(self) -> bool:
         """Whether bytes have come that we have not read: a close now would reset the connection."""
         count = array.array("i", [0])
@@ -677,9 +687,15 @@
             self._accepting = False
             self.loop.remove_reader(self._socket)
 
+    def _most(self) -> int:
+        return int(CLIENT_SHARE * self._sockets) // (2 if self.core.shared else 1)
+
     def _room(self) -> bool:
-        most = int(CLIENT_SHARE * self._sockets) // (2 if self.core.shared else 1)
-        return len(self.connections) + len(self._pending) < most
+        return len(self.connections) + len(self._pending) < self._most()
+
+    def crowded(self) -> bool:
+        """Whether places are short: then one that a client might use again is worth less than a free one."""
+        return len(self.connections) > CROWDED * self._most()
 
     def _accept(self) -> None:
         # Guards the descriptors: beyond the bound clients wait in the backlog, and a failing accept is
@@ -703,14 +719,16 @@
         self._make_room()
 
     def _make_room(self) -> None:
-        """Close the connection that has stood idle longest, if it may be; its end lets the next client in.
+        """Close the connection that is missed least; its end lets the next client in.
 
-        Guards against clients that leave their connections open and come on new ones: connections that nobody
-        uses would hold all the places.
+        Guards against clients that leave their connections open and come on new ones, and against peers that
+        bring no request, or half of one: connections that nobody uses would hold all the places.
         """
-        idle = min((c for c in self.connections if c.idle()), key=lambda c: c.since, default=None)
-        if idle is not None and self.now() - idle.since >= SPARE_S:
-            idle.transport.abort()
+        now = self.now()
+        spare = min((c for c in self.connections if c.spare(now)), key=lambda c: (not c.served, c.heard_at),
+                    default=None)
+        if spare is not None:
+            spare.transport.abort()
         else:
             self._tell_full()
 
