--- a/yewstage/net/handover.py
+++ b/yewstage/net/handover.py
@@ -42,7 +42,6 @@
         if self._lock(SERVING):
             (self._folder / STATE).unlink(missing_ok=True)
             return False
-        self._lock(WAITING)
         self._took, self._alone = took, alone
         self._poll()
         return True
@@ -71,6 +70,7 @@
             log.error("nothing handed over: %s", error)
 
     def _poll(self) -> None:
+        self._lock(WAITING)  # again and again: the other one holds it for the instant in which it looks
         gone = self._lock(SERVING)
         state = self._read() if self._took is not None else None
         if self._took is not None and (gone or state is not None):
@@ -104,13 +104,18 @@
         return state
 
     def _lock(self, name: str) -> bool:
-        if name not in self._locks:
-            self._locks[name] = os.open(self._folder / name, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        """Whether the lock is ours now. Where there can be none nobody else has one: we are alone."""
         try:
+            if name not in self._locks:
+                path = self._folder / name
+                self._locks[name] = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
             fcntl.flock(self._locks[name], fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
             return False
+        except OSError as error:
+            log.warning("no lock in %s: %s", self._folder, error)
         return True
 
     def _release(self, name: str) -> None:
-        os.close(self._locks.pop(name))
+        if name in self._locks:
+            os.close(self._locks.pop(name))
