--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -197,6 +197,7 @@
     (reply(b"", 500), 502, 1),
     (reply(b"", 500, b"X-Not-Run: 1\r\n"), 502, 1),
     (reply(b"", 204), 502, 1),
+    (b"HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n", 502, 1),
     (b"HTTP/1.1 nonsense\r\n\r\n", 502, 1),
     (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", 502, 1),
 ])
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -148,6 +148,48 @@
     on_loop(scenario)
 
 
+def test_a_next_process_is_seen_though_its_first_lock_fails(tmp_path: Path) -> None:
+    """The old one holds the lock for the instant in which it looks; on a busy core that may be long."""
+    async def scenario() -> None:
+        old, looking, new = (Handover(tmp_path, "n0", asyncio.get_running_loop()) for _ in range(3))
+        assert not old.start(print, print)
+        assert looking._lock(WAITING)
+        assert new.start(print, print)
+        looking._release(WAITING)
+        while not old.succeeded():
+            await asyncio.sleep(0.01)
+        new.stop()
+    on_loop(scenario)
+
+
+def test_without_a_place_for_locks_it_serves_alone(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        lone = Handover(tmp_path / "missing", "n0", asyncio.get_running_loop())
+        assert not lone.start(print, print) and not lone.succeeded()
+        lone.hand_over({})
+    on_loop(scenario)
+
+
+def test_sigterm_lets_an_answer_on_its_way_go_on(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        body = b"x" * 300_000
+
+        def begins(seen: Seen) -> bytes:
+            return reply(body)[:200_000]
+
+        async with Rig(tmp_path, begins) as rig:
+            reader, writer = await rig.connect()
+            writer.write(message())
+            await reader.readuntil(b"\r\n\r\n")
+            rig.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(4)  # past the time at which all that has no answer is failed
+            rig.hosts[0].seen[0].writer.write(reply(body)[200_000:])
+            assert await reader.read() == body
+            assert await rig.process.wait() == 0
+            writer.close()
+    on_loop(scenario)
+
+
 def spend(d: Driver, n: int, plan: str) -> int:
     return sum(bool(of(d.ask(plan=plan, width=1)[1], api.Send)) for _ in range(n))
 
--- a/yewstage/net/handover.py
+++ b/yewstage/net/handover.py
@@ -40,6 +40,8 @@
         Then `took` is called once that has handed over or is gone with no word, and `alone` once it is gone.
         """
         if self._lock(SERVING):
+            if SERVING not in self._locks:
+                log.warning("no locks in %s: nothing can be handed over", self._folder)
             (self._folder / STATE).unlink(missing_ok=True)
             return False
         self._took, self._alone = took, alone
@@ -112,8 +114,8 @@
             fcntl.flock(self._locks[name], fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
             return False
-        except OSError as error:
-            log.warning("no lock in %s: %s", self._folder, error)
+        except OSError:
+            pass
         return True
 
     def _release(self, name: str) -> None:
--- a/yewstage/net/http1.py
+++ b/yewstage/net/http1.py
@@ -149,7 +149,7 @@
     def data_received(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.ended_by = f"{error} in {data[:64]!r}"
             self.drop()  # nonsense: whatever is out on it ends as a reset
 
