--- a/yewstage/__main__.py
+++ b/yewstage/__main__.py
@@ -139,8 +139,8 @@
             self._loop.call_later(CHECK_S, self._check)
 
     def _end(self) -> None:
-        # Guards against SIGKILL: what is open then would be lost, an answer now is none too late. One that is on
-        # its way goes on for as long as we are let: with its connection the last check ends.
+        # Guards against SIGKILL: what is open then would be lost, an answer now is none too late. One that is
+        # on its way goes on for as long as we are let: with its connection the last check ends.
         self._core.fail_all()
 
 
