--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -81,6 +81,14 @@
     on_loop(scenario)
 
 
+def test_a_target_may_name_its_host(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, serve) as rig:
+            assert await rig.status(message(target="HTTP://origin.svc:80/api/00000000b4d65521?a=/b")) == 200
+            assert rig.hosts[0].seen[0].line == "GET /api/00000000b4d65521?a=/b HTTP/1.1"
+    on_loop(scenario)
+
+
 def test_a_refusal_comes_at_once_with_advice(tmp_path: Path) -> None:
     """What the module gives up on is not held: other answers on the way to it do not matter."""
     async def scenario() -> None:
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -48,6 +48,7 @@
                     b"idempotency-key", b"content-length", b"content-type", b"expect",
                     b"transfer-encoding"))
 WORD = re.compile(rb"[!-~]{1,128}")
+ABSOLUTE = re.compile(rb"(?i)^http://[^/?#]*(?=/)")  # a target may name its host, which is us
 CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
 DEADLINE = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,6})?)([mu])")
 UNITS = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
@@ -277,6 +278,7 @@
         if self._resuming or self._ending:
             return
         message.headed_at = self._server.now()
+        message.url = ABSOLUTE.sub(b"", message.url, 1)
         message.method = self._parser.get_method()
         message.version = self._parser.get_http_version()
         message.keep_alive = self._parser.should_keep_alive()
@@ -559,7 +561,7 @@
             if self._paused_at is None and now > self._due(message) and (
                     not self._busy or message is self._taken):
                 self._late(message)
-        elif not self._busy and now - self.since > (IDLE_S if self.served else HEAD_S):
+        elif not self._busy and now - self.since > (IDLE_S if self.served else HEAD_S) and not self.unread():
             self.transport.abort()  # what it has not read by now it will not read
 
     def _due(self, message: _Message) -> float:
@@ -586,9 +588,8 @@
         """Whether another client has a better claim to this place: nobody waits for anything here."""
         if self._busy or self.transport.is_closing():
             return False
-        if self.served:
-            return self.idle() and now - self.since >= SPARE_S
-        return now - self.heard_at >= STALE_S and not self.unread()
+        waits = now - self.since >= SPARE_S and self.idle() if self.served else now - self.heard_at >= STALE_S
+        return waits and not self.unread()
 
     def unread(self) -> bool:
         """Whether bytes have come that we have not read: a close now would reset the connection."""
