Ask a connection that is closing for no unread bytes; find an event's attempt in one place

The look for unread bytes may come between the end of a connection and its removal, when its descriptor is gone or another's.

--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -593,13 +593,15 @@
 
     def unread(self) -> bool:
         """Whether bytes have come that we have not read: a close now would reset the connection."""
+        if self.transport.is_closing():
+            return False  # its descriptor may be gone
         count = array.array("i", [0])
         fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.FIONREAD, count)
         return count[0] > 0
 
     def close_if_idle(self) -> None:
         """Close unless a request is owed its answer, is being read or waits to be read."""
-        if self.idle() and not self.transport.is_closing() and not self.unread():
+        if self.idle() and not self.unread():
             self.transport.close()
 
 
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -794,13 +794,19 @@
         if not still and self.held.pop(held.req.id, None) is not None:
             held.use.open -= 1
 
-    def _stream_started(self, event: api.StreamStarted) -> None:
+    def _still_out(self, event: api.Outcome | api.StreamStarted) -> tuple[_Held, _Attempt] | None:
+        """Whose event it is; None if that attempt is over or was never made."""
         held = self.held.get(event.request)
-        if held is None or not 0 <= event.attempt < len(held.attempts) or held.stream:
-            return
+        if held is None or not 0 <= event.attempt < len(held.attempts):
+            return None
         attempt = held.attempts[event.attempt]
-        if not attempt.open:
+        return (held, attempt) if attempt.open else None
+
+    def _stream_started(self, event: api.StreamStarted) -> None:
+        found = self._still_out(event)
+        if found is None or found[0].stream:
             return
+        held, attempt = found
         held.stream = True
         # Danger: how fast the client reads is not its server's load.
         attempt.stop()
@@ -821,12 +827,10 @@
         held.loading = False
 
     def _outcome(self, event: api.Outcome) -> None:
-        held = self.held.get(event.request)
-        if held is None or not 0 <= event.attempt < len(held.attempts):
-            return
-        attempt = held.attempts[event.attempt]
-        if not attempt.open:
+        found = self._still_out(event)
+        if found is None:
             return
+        held, attempt = found
         attempt.open = False
         attempt.stop()
         attempt.ran = event.result not in api.NEVER_RAN
