Turned away by discovery, keep the list's generation and rest by jitter over the fleet

Checked, with a trace of asks, answers and dials on one time axis: all asks fell into the same 30 ms (equal back-offs), and each was for the whole list, since a 503 was taken for nonsense that voids what is known. Lines at fault: discovery.py, the status check inside the nonsense path; _retry, equal rests whatever the fleet; start, which asked for a list that the configuration already held.

--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -4,9 +4,12 @@
 
 import asyncio
 import contextlib
+import heapq
 import os
+import random
 import time
 from collections.abc import Callable
+from functools import partial
 
 import pytest
 from conftest import (
@@ -293,6 +296,87 @@
     on_loop(scenario)
 
 
+def test_a_watch_that_was_turned_away_asks_again_for_what_is_new_only() -> None:
+    async def scenario() -> None:
+        agent = Directory([instance("s-0", 1)])
+        await agent.fake.start()
+        told: asyncio.Queue[Listing] = asyncio.Queue()
+        discovery = Discovery(asyncio.get_running_loop(), (LOOP, agent.fake.port), told.put_nowait, known=7)
+        discovery.start()
+        await agent.answer_watch(lambda: reply(status=503))
+        await agent.answer_watch(lambda: reply(b'{"generation":9,"reset":false,"instances":[]}'))
+        assert (await told.get()).generation == 9
+        await agent.fake.until(lambda fake: len(fake.seen) == 3)
+        assert [seen.line.split("?")[1].split("&")[0] for seen in agent.fake.seen] == [
+            "after=7", "after=7", "after=9"]
+        discovery.stop()
+        agent.fake.stop()
+    on_loop(scenario)
+
+
+class RefusingLoop:
+    """Virtual time on which every dial is refused at once; remembers when each was made."""
+
+    def __init__(self) -> None:
+        self.now, self.dials, self._due, self._serial = 0.0, [], [], 0
+
+    def call_later(self, delay: float, callback: Callable) -> Due:
+        return self._push(delay, Due(callback))
+
+    def _push(self, delay: float, due: Due) -> Due:
+        self._serial += 1
+        heapq.heappush(self._due, (self.now + delay, self._serial, due))
+        return due
+
+    def create_connection(self, make: Callable, host: str, port: int) -> None:
+        self.dials.append(self.now)
+
+    def create_task(self, dial: None) -> Due:
+        return self._push(0.001, Refused(lambda: None))
+
+    def run(self, until: float) -> None:
+        while self._due[0][0] < until:
+            self.now, _, due = heapq.heappop(self._due)
+            if not due.cancelled():
+                due.callback()
+
+
+class Due:
+    """What is to be called at a time."""
+
+    def __init__(self, callback: Callable) -> None:
+        self.callback, self._cancelled = callback, False
+
+    def cancel(self) -> None:
+        self._cancelled = True
+
+    def cancelled(self) -> bool:
+        return self._cancelled
+
+
+class Refused(Due):
+    """A dial's task that ends with a refusal."""
+
+    def add_done_callback(self, callback: Callable) -> None:
+        self.callback = partial(callback, self)
+
+    def exception(self) -> Exception:
+        return ConnectionRefusedError()
+
+
+@pytest.mark.parametrize("size", [3, 40])
+def test_a_fleet_that_is_turned_away_at_one_moment_comes_back_spread_out(size: int) -> None:
+    loop = RefusingLoop()
+    for n in range(size):
+        Discovery(loop, (LOOP, 1), lambda listing: None, 1, size, random.Random(n)).start()
+    loop.run(30.0)
+    asked = [sum(at <= dial < at + 1 for dial in loop.dials) for at in range(30)]
+    assert sum(asked[1:]) <= 12 * 29  # of the fleet, however large
+    together = max(sum(at <= dial < at + 0.1 for dial in loop.dials) for at in loop.dials if at >= 0.5)
+    assert together <= 8
+    assert len(loop.dials) >= 3 * size  # and nobody gives up
+
+
 async def counter_with(monkeypatch: pytest.MonkeyPatch, fake: Fake, wait_ms: float,
                        loop: BreakingLoop | None = None) -> tuple[Counter, asyncio.Queue[api.CountReply]]:
     monkeypatch.setattr(counter_module, "CONNECTIONS", 1)
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import math
+import random
 import time
 from collections import deque
 from dataclasses import dataclass
@@ -108,7 +109,9 @@
         self.stats = Stats(c.name for c in config.settings.classes)
         self._most = int(UPSTREAM_SHARE * config.sockets)
         self._hosts = Hosts(loop, self._most, config.dial_ms, config.idle_ms, self)
-        self._discovery = Discovery(loop, config.discovery, self._listed)
+        self._discovery = Discovery(loop, config.discovery, self._listed,
+                                    config.known.generation if config.known.servers else None,
+                                    config.settings.fleet_size, random.Random(config.seed))
         self._counter = (Counter(loop, config.counter, config.settings.count_wait_ms, self._post)
                          if config.counter is not None else None)
         self._known = config.known
--- a/yewstage/net/discovery.py
+++ b/yewstage/net/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -14,8 +15,10 @@
 log = logging.getLogger(__name__)
 
 WAIT_MS = 20000
+LOOK_MS = 50  # the first watch of a list that is known: what is new is wanted now
 SILENT_S = 2.0  # how long an answer may be overdue before the connection is given up
-BACKOFF_S, BACKOFF_MAX_S = 0.05, 2.0
+BACKOFF_S, BACKOFF_MAX_S = 0.1, 0.25  # for each gateway of the fleet: all may be turned away at one moment
+BACKOFF_LEAST_S = 2.0  # the longest rest of a small fleet
 STATES = {"ready": "up", "draining": "draining", "gone": "removed"}
 
 
@@ -64,12 +67,19 @@
 
 
 class Discovery:
-    """Keeps one watch going and hands on each answer."""
+    """Keeps one watch going and hands on each answer.
+
+    Guards a service that serves the whole fleet, most of which may start or be turned away at one moment:
+    what is known is not asked for again, and all come back at times of their own.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int],
-                 told: Callable[[Listing], None]) -> None:
+                 told: Callable[[Listing], None], known: int | None = None, fleet_size: int = 1,
+                 rng: random.Random | None = None) -> None:
         self._loop, self._address, self._told = loop, address, told
-        self._generation: int | None = None  # None: the whole list is wanted
+        self._generation = known  # of the list that we have; None: the whole list is wanted
+        self._heard = False
+        self._fleet_size, self._rng = fleet_size, rng or random.Random()
         self._connection: _Watch | None = None
         self._dial: asyncio.Task | None = None
         self._timer: asyncio.TimerHandle | None = None  # the end of our patience, or of a rest
@@ -77,7 +87,7 @@
         self._stopped = False
 
     def start(self) -> None:
-        """Ask for the whole list, then for what changes."""
+        """Ask for what changes in the list that is known, or for the whole list and then for what changes."""
         self._ask()
 
     def stop(self) -> None:
@@ -124,8 +134,9 @@
         self._ask()
 
     def _write(self, connection: _Watch) -> None:
-        query = "" if self._generation is None else f"?after={self._generation}&wait_ms={WAIT_MS}"
-        self._watch_silence(SILENT_S if self._generation is None else WAIT_MS / 1000 + SILENT_S)
+        wait_ms = 0 if self._generation is None else WAIT_MS if self._heard else LOOK_MS
+        query = "" if self._generation is None else f"?after={self._generation}&wait_ms={wait_ms}"
+        self._watch_silence(wait_ms / 1000 + SILENT_S)
         connection.waiting = True
         connection.write(f"GET /v1/endpoints{query} HTTP/1.1\r\nHost: discovery\r\n\r\n".encode())
 
@@ -146,6 +157,10 @@
         """An answer: hand it on and ask for what comes next at once."""
         if connection is not self._connection:
             return  # from an address that was left
+        if reply.status == 503:
+            log.warning("discovery: turned away, the list is kept")
+            connection.drop()
+            return
         try:
             if reply.status != 200:
                 raise ValueError(f"status {reply.status}")
@@ -157,7 +172,7 @@
             self._generation = None  # whatever was missed comes with the whole list
             connection.drop()
             return
-        self._failures, self._generation = 0, listing.generation
+        self._failures, self._generation, self._heard = 0, listing.generation, True
         if not reusable:
             self._connection = None
             connection.drop()
@@ -176,8 +191,12 @@
         if self._stopped:
             return
         self._failures += 1
-        wait = min(BACKOFF_S * 2 ** min(self._failures - 1, 10), BACKOFF_MAX_S)
-        self._timer = self._loop.call_later(wait, self._ask)
+        self._timer = self._loop.call_later(self._rest_s(), self._ask)
+
+    def _rest_s(self) -> float:
+        """Full jitter over a span that grows with the fleet: what all ask in a second does not."""
+        span = BACKOFF_S * self._fleet_size * 2 ** min(self._failures - 1, 10)
+        return self._rng.random() * min(span, max(BACKOFF_MAX_S * self._fleet_size, BACKOFF_LEAST_S))
 
 
 class _Watch(ReplyProtocol):
