Give a call to the counter 6% of the shortest aim where that is more than its own time

Of 7,802 sends 2,706 were of basic customers of whom no total had ever been read. Checked, with a trace of calls and decisions: answers took 26 ms in the median, 44 in the ninth decile, and the wait was 50 ms, of aims of 2.5 s. Basic and premium customers lie on 20 to 40 gateways: without a total each has a split of under one request. Ruled out: a dead part of the counter (time-outs lie on most names), our dials. Lines at fault: core.py, Counter made with the wait of the settings; the module's guard goes by the same figure.

--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -314,6 +314,15 @@
     on_loop(scenario)
 
 
+@pytest.mark.parametrize(("told_ms", "aim_ms", "wait_ms"), [(50, 3000, 180), (50, 600, 50), (None, 100, 50)])
+def test_a_call_to_the_counter_may_take_what_the_aims_can_spare(
+        told_ms: float | None, aim_ms: float, wait_ms: float) -> None:
+    raw = {"listen": f"{LOOP}:1", "discovery": f"{LOOP}:2", "seed": "1", "settings": {
+        "grades": [{**GRADES[0], "objective_ms": aim_ms}, {**GRADES[1], "objective_ms": 5500.0}],
+        "family_info": {} if told_ms is None else {"count_wait_ms": told_ms}}}
+    assert parse(raw).settings.count_wait_ms == pytest.approx(wait_ms)
+
+
 class RefusingLoop:
     """Virtual time on which every dial is refused at once; remembers when each was made."""
 
--- a/yewstage/net/config.py
+++ b/yewstage/net/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import resource
 from collections.abc import Iterator, Mapping
@@ -16,6 +17,7 @@
 DEFAULT_SOCKETS = 1024
 LEAST_SOCKETS = 64  # leaves a reserve beside clients, hosts, counter, discovery, operators and the loop's own
 STEADY = {"name": "ROUTER_NAME", "listen": "ROUTER_LISTEN", "ops": "ROUTER_OPS"}  # for the process's life
+CALL_SHARE = 0.06  # of the shortest aim: what a call to the counter may take, where its own time is shorter
 LARGEST = 1e12  # no time in milliseconds and no count is larger
 
 
@@ -197,7 +199,12 @@
         settings.check()
     except ValueError as error:
         raise ConfigError(f"settings: {error}") from None
-    return settings
+    return dataclasses.replace(settings, count_wait_ms=_count_wait_ms(settings))
+
+
+def _count_wait_ms(settings: api.Settings) -> float:
+    """The counter answers every call, however late: giving up with time to spare trades a total for a guess."""
+    return max(settings.count_wait_ms, CALL_SHARE * min(c.aim_ms for c in settings.classes))
 
 
 def _positive(pairs: dict[str, str], key: str, default: float) -> float:
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -147,7 +147,7 @@
         self._post(api.Retuned(config.settings))
         self._discovery.move(config.discovery)
         if self._counter is not None and config.counter is not None:
-            self._counter.move(config.counter)
+            self._counter.move(config.counter, config.settings.count_wait_ms)
 
     def share(self, shared: bool) -> None:
         """Go on with half of the descriptors, or with all of them."""
--- a/yewstage/net/counter.py
+++ b/yewstage/net/counter.py
@@ -44,9 +44,9 @@
         for slot in self._slots:
             slot.stop()
 
-    def move(self, address: tuple[str, int]) -> None:
+    def move(self, address: tuple[str, int], wait_ms: float) -> None:
         """Call another address from now on. What is out at the old one has its usual time to be answered."""
-        old, self._address = self._slots, address
+        old, self._address, self._wait_s = self._slots, address, wait_ms / 1000
         self._slots = [_Slot(self) for _ in range(CONNECTIONS)]
         self.start()
         for slot in old:
