--- a/yewstage/net/config.py
+++ b/yewstage/net/config.py
@@ -203,7 +203,7 @@
 
 
 def _count_wait_ms(settings: api.Settings) -> float:
-    """The counter answers every call, however late: giving up with time to spare trades a total for a guess."""
+    """The counter answers every call, however late: to give up with time to spare is to guess."""
     return max(settings.count_wait_ms, CALL_SHARE * min(c.aim_ms for c in settings.classes))
 
 
