Take a first total for the use of its whole window, not of one call's time

Seen: with totals read, first tries were refused while three quarters of the store was there; a trace of decisions had the others' use at 721 units a second for a plan of 1.1, and -3,797 units left. Ruled out: counters that did not answer (these had a total), ceilings (told apart). Lines at fault: policy.py _roll, base_at of a count never read; _read, which kept nothing of the prior for a first read; _left, which let the others' estimated use sink an empty store without end.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ast
+import math
 import random
 import sys
 from pathlib import Path
@@ -352,6 +353,28 @@
     assert d.gateway.uses["c"].others >= 0  # a total that falls is no use given back by the others
 
 
+@pytest.mark.parametrize(("used", "least", "most"), [(0.4, 30, 30), (1.0, 0, 4)])
+def test_a_first_total_tells_the_use_of_its_whole_window(used: float, least: int, most: int) -> None:
+    """30 gateways read one total, 70 ms after they first hear of a customer; 0.9 s later each is asked."""
+    scout = Driver()
+    scout.ask(plan="basic")
+    name = calls_of(scout)[0].name
+    while calls_of(scout)[-1].name == name:  # until its window begins, to the tenth of a second
+        scout.ask(plan="basic", after=100)
+        scout.give(api.CountReply(calls_of(scout)[-1].name, api.OK, 0.0))
+    elapsed = 0.8 * Gateway._window_ms(PLAN)
+    fleet = [Driver(seed=n, now=scout.now + elapsed, fleet_size=30) for n in range(30)]
+    for d in fleet:
+        d.ask(plan="basic", width=30)
+        total = used * PLAN.rate * elapsed / 1000
+        d.give(api.CountReply(calls_of(d)[0].name, api.OK, calls_of(d)[0].amount + total), 70)
+        d.gateway.call_at = math.inf
+        d.gateway.heard = 0.6  # no more is asked: what was read must do
+        d.gateway.rng.random = lambda: 0.99
+    sent = sum(bool(of(d.ask(plan="basic", width=30, after=900)[1], api.Send)) for d in fleet)
+    assert least <= sent <= most
+
+
 def test_overshoot_is_not_owed() -> None:
     d = Driver()
     drive(d, 8, others=5.0, plan="basic")  # the others sent far beyond the quota, which took nothing from it
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -501,7 +501,8 @@
         use.window, use.name = window, name
         self._left(use, start)
         known = use.most if use.base is None else max(use.left, 0.0)
-        use.base_at, use.base_left = max(start, use.left_at), known
+        # A count holds what was used since its window began: with nothing read yet, so does the time it took.
+        use.base_at, use.base_left = start if use.base is None else max(start, use.left_at), known
         use.own = use.base_use = use.own - use.added  # not told yet: told in the new window
         use.added = use.base_own = 0.0
         use.calling = False
@@ -516,7 +517,8 @@
         gain, most = (0.0, burst * part) if use.base is None else (rate - use.others, burst)
         if use.base is None or self.heard < 0.5:  # nothing is known, or no more: our split at least
             gain = max(gain, rate * part)
-        use.left = min(most, use.left + gain * span)
+        # Others who are refused use nothing: what they ask beyond an empty store is not owed by those after.
+        use.left = max(min(most, use.left + gain * span), min(use.left, 0.0))
         use.left_at += span
         return use.left
 
@@ -619,10 +621,16 @@
         others = total - (use.base or 0.0) - (use.added - use.base_own)
         self._left(use)
         if total >= use.added - 1e-6 and others >= -1e-6:
-            full = use.base_left + use.plan.rate * span / 1000 - others - (use.own - use.base_use)
+            gain = use.plan.rate * span / 1000
+            full = use.base_left + gain - others - (use.own - use.base_use)
+            if use.base is None:
+                # Danger: how full the store was as the window began nobody told us; who has used in it what
+                # it gives found it empty, most likely. The longer the window lasts, the more that says.
+                sure = min(gain / use.plan.burst, 1.0) if use.plan.burst > 0 else 1.0
+                full += sure * (use.plan.burst * max(1 - others / gain, 0.0) - full)
             # Danger: what overshot took nothing from the store, so it must not be owed ever after.
             use.left = use.most = max(min(full, use.most), 0.0)
-            keep = 0.0 if use.base is None else OTHERS_MS / (OTHERS_MS + span)
+            keep = OTHERS_MS / (OTHERS_MS + span)
             use.others = keep * use.others + (1 - keep) * others / span
         # Else the counter lost its counts: what is left stays as we know it, the count goes on from here.
         use.base, use.base_own, use.base_use = total, use.added, use.own
