Let each server be held by ten gateways of a large fleet, not dialled by all

Checked, with a trace of attempts and load reports by server: old servers at util 0.9 to 1.0, new ones at 0.2 to 0.6. Lines at fault: policy.py _pick, every listed server is a candidate whatever the fleet; _cold_room and the trials of resting servers likewise. A fleet of up to ten holds all servers, as before.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -6,6 +6,7 @@
 import math
 import random
 import sys
+from collections import Counter, deque
 from pathlib import Path
 
 import pytest
@@ -415,6 +416,65 @@
     assert [type(act) for act in out] == [kind]
 
 
+# --- A fleet's sum ---
+
+
+def sends_of_a_fleet(gateways: int, servers: int, each: int, starts_at: int | None = None
+                     ) -> Counter[tuple[int, str]]:
+    """How many requests each gateway sent to each server, served in 100 ms each.
+
+    From request `starts_at` on, where h0 starts anew, cold.
+    """
+    sent: Counter[tuple[int, str]] = Counter()
+    for me in range(gateways):
+        d = Driver(servers, seed=me, fleet_size=gateways, me=me, may_count=False)
+        out: deque[str] = deque()
+        for i in range(each):
+            if i == starts_at:
+                d.give(api.ServerList("changes", (server(0, up_since_ms=d.now),)))
+            rid, acts = d.ask(after=100)
+            if of(acts, api.Send):
+                out.append(rid)
+                sent[me, of(acts, api.Send)[0].server] += i >= (starts_at or 0)
+            if len(out) > 1:
+                d.end(out.popleft(), took=100)
+            d.sweep(i % 2, 0)
+    return sent
+
+
+def test_a_cold_server_of_a_large_fleet_gets_its_budget_from_all_together() -> None:
+    load: Counter[str] = Counter()
+    for (_, host), n in sends_of_a_fleet(40, 60, 120, starts_at=100).items():  # 2 s: the time that tips it
+        load[host] += n
+    assert 0 < load["h0"] <= 0.5 * sum(load.values()) / 60
+
+
+def test_a_large_fleet_shares_its_servers_out() -> None:
+    sent = sends_of_a_fleet(40, 60, 90)
+    assert sum(sent.values()) == 40 * 90
+    pairs = Counter(host for _, host in sent)  # gateways that dialled a server
+    assert max(pairs.values()) <= 12 and sum(pairs.values()) <= 60 * 11
+    load = Counter()
+    for (_, host), n in sent.items():
+        load[host] += n
+    assert len(load) == 60 and max(load.values()) < 2.2 * min(load.values())
+
+
+def test_a_small_fleet_uses_all_servers_from_each_gateway() -> None:
+    assert len(sends_of_a_fleet(3, 12, 90)) == 36
+    assert len(sends_of_a_fleet(40, 10, 90)) >= 40 * 9  # few servers: none is left to a part of the gateways
+
+
+def test_a_failing_server_is_tried_again_by_those_who_hold_it_only() -> None:
+    tried = set()
+    for me in range(40):
+        d = Driver(servers=60, seed=me, fleet_size=40, me=me, may_count=False)
+        for host in d.gateway.hosts.values():
+            host.fails = host.name == "h0"  # its rest is over
+        tried |= {me for _ in range(20) for act in of(d.ask(after=20)[1], api.Send) if act.server == "h0"}
+    assert 5 <= len(tried) <= 10
+
+
 # --- Ceiling ---
 
 
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -23,6 +23,8 @@
 GAIN = 0.2  # weight of one outcome in a host's or class's running mean
 BACKOFF_MS, BACKOFF_MAX_MS = 500.0, 4000.0  # a failing host's rest before one trial, doubled to the second
 STRIKES = 3  # slow or failed answers in a row that count as a host's failure
+HOLDERS, HELD = 10, 12  # gateways that send to one server, where that leaves each so many servers
+FAR = 4.0  # a server that others hold is sought at so many times the load
 BAD = 2.5  # a host this many times slower than the fleet is unwell: no q samples, no patience
 COLD_MARGIN = 0.5  # part of the cold budget that we use: capacity is only guessed and others may run ahead
 RETRY_SHARE, RETRY_BANK = 0.2, 10.0  # further attempts per admitted request, and how many may be saved up
@@ -60,10 +62,10 @@
     """What this gateway knows of one server."""
 
     __slots__ = ("name", "zone", "cell", "nominal", "up", "born", "cold_from_ms", "open", "slow", "strikes",
-                 "fails", "down_until", "died", "credit", "credit_at")
+                 "fails", "down_until", "died", "credit", "credit_at", "rank")
 
-    def __init__(self, server: api.Server) -> None:
-        self.name = server.name
+    def __init__(self, server: api.Server, rank: int) -> None:
+        self.name, self.rank = server.name, rank
         self.open = 0
         self.slow = 1.0  # running latency over its class's usual one
         self.strikes = self.fails = 0
@@ -176,6 +178,7 @@
         self.q, self.f = 0.0, 1.0
         self.q_sum, self.q_n, self.q_seen = 0.0, 0, 0
         self.ok_q = self.lost = 0.0  # part of the aim that good answers take; share of answers that are lost
+        self.holders = settings.fleet_size  # gateways that send to one server
         self.mid, self.many_fail = 1.0, False  # the hosts' median slowness; whether over half of them fail
         self.done = self.done_rate = 0.0  # good completions since the last sweep, and per ms
         self.warm_work = self.warm_rate = 0.0  # work sent to warm hosts, and per ms and host
@@ -245,7 +248,21 @@
             elif server.name in self.hosts:
                 self.hosts[server.name].update(server)
             else:
-                self.hosts[server.name] = _Host(server)
+                self.hosts[server.name] = _Host(server, self._rank(server.name))
+        # Danger: all dial all, and know each from one answer in many seconds. A server needs some gateways,
+        # which keep connections and hear of it often; a gateway needs some servers. A small fleet holds all.
+        fleet = self.s.fleet_size
+        self.holders = min(fleet, max(HOLDERS, math.ceil(fleet * HELD / max(len(self.hosts), 1))))
+
+    def _rank(self, name: str) -> int:
+        """Our place in a server's own order of all gateways, on which they agree without a word."""
+        order = list(range(self.s.fleet_size))
+        random.Random(name).shuffle(order)
+        return order.index(self.s.me)
+
+    def _ours(self, host: _Host) -> bool:
+        """Whether we are one of the gateways that hold this server."""
+        return host.rank < self.holders
 
     def rotation(self) -> tuple[int, int]:
         """How many servers are listed, and how many of these get no ordinary work now."""
@@ -655,7 +672,7 @@
         if self.handed:
             return False
         if self.warm_rate <= 0:
-            return host.open == 0 and self.rng.random() * self.s.fleet_size < 1
+            return host.open == 0 and self.rng.random() * self.holders < 1
         rate = min(COLD_MARGIN * self.s.fall_multiple, 1.0) * warmth * self.warm_rate
         span = self.now - max(host.credit_at, host.cold_from_ms)
         host.credit = min(host.credit + rate * span, rate * self.s.tip_after_ms / 2)
@@ -676,7 +693,9 @@
         for host in self.hosts.values():
             if not self._may_send(held, host):
                 continue
-            warmth = self._warmth(host)
+            warmth, ours = self._warmth(host), self._ours(host)
+            if not ours and (warmth < 1 or host.fails):
+                continue  # danger: the trials and the cold budget are for those who hold it
             if warmth < 1 and (held.loading or not self._cold_room(host, warmth, held.work)):
                 continue  # danger: a body on its way is work of a later window
             if host.fails:
@@ -693,7 +712,7 @@
             # Danger: speed is noise of what others send; weighing it in full herds us onto one server.
             # No zone is preferred: where traffic leans to one for good, its servers alone would bear it.
             score = (host.open + 1) * host.slow ** 0.5 / host.nominal
-            score *= 1 + 0.2 * self.rng.random()
+            score *= (1 + 0.2 * self.rng.random()) * (1 if ours else FAR)
             if host in tried:
                 score *= 4
             if best is None or score < best_score:
@@ -883,7 +902,8 @@
         slow = sorted(h.slow for h in self.hosts.values() if h.up)
         self.mid = max(slow[len(slow) // 2], 1.0) if slow else 1.0
         self.many_fail = 2 * sum(1 for h in self.hosts.values() if h.up and h.fails) > len(slow)
-        warm = sum(1 for h in self.hosts.values() if h.up and not h.fails and self._warmth(h) >= 1)
+        warm = sum(1 for h in self.hosts.values()
+                   if h.up and not h.fails and self._ours(h) and self._warmth(h) >= 1)
         if warm:
             self.warm_rate = keep * self.warm_rate + (1 - keep) * self.warm_work / span / warm
         self.done = self.warm_work = 0.0
