Read load reports, and send a cold server that reports little use half its budget

Checked: attempts and reports by server, on one time axis. Ruled out: late lists (attempts at the new servers come from all their holders), failing ones (no errors there). Lines at fault: core.py ended, which dropped X-Load; policy.py _cold_room, whose part is capped at the least capacity however idle the server is. It stays under half of the multiple that tips one.

--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -273,6 +273,25 @@
     on_loop(scenario)
 
 
+@pytest.mark.parametrize(("header", "report"), [
+    (b"load_share=0.61,concurrent=7,depth=2", {"util": 0.61, "inflight": 7, "queue": 2}),
+    (b"inflight=7, queue=2", {"inflight": 7, "queue": 2}), (b"util=full", {}), (b"util=nan", {}), (b"", {}),
+    (b"util", {}), (b"util=\xff", {})])
+def test_a_load_report_reaches_the_module(monkeypatch: pytest.MonkeyPatch, header: bytes,
+                                          report: dict[str, float]) -> None:
+    async def scenario() -> None:
+        host = Fake(lambda seen: reply(b"served", headers=b"X-Load: %b\r\n" % header))
+        core, script = await core_with(monkeypatch, host)
+        client = Answers()
+        script.plan[api.Request] = [api.Send("r1", "s-0", 5000)]
+        core.request(client, an_order(5000))
+        assert await client.got.get() == 200
+        await asyncio.sleep(0)
+        assert [e.report for e in script.events if isinstance(e, api.Outcome)] == [report]
+        host.stop()
+    on_loop(scenario)
+
+
 def test_our_own_want_of_room_is_not_the_hosts_failure() -> None:
     async def scenario() -> None:
         ended: list[str] = []
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -573,6 +573,28 @@
     assert 4 <= sum(len(of(out, api.Send)) for out in outs) <= 5  # other hosts gone: the budget still holds
 
 
+def test_a_cold_host_that_reports_little_use_gets_more_but_never_the_whole_budget() -> None:
+    given = {}
+    for util in (None, 0.3, 0.9):
+        d = Driver(servers=1)
+        gw = d.gateway
+        gw.warm_rate = 0.1
+        d.give(api.ServerList("full", (server(9, up_since_ms=d.now - 5000),)))
+        cold, gw.latency["read"] = gw.hosts["h9"], 1.0
+        if util is not None:
+            rid, _ = d.ask()
+            d.give(api.Outcome(rid, 0, "h9", api.OK, 50, True, report={"util": util}))
+        given[util], cold.credit, cold.credit_at = 0.0, 0.0, d.now
+        for _ in range(100):  # within one second: the news stays fresh
+            d.now += 10
+            gw.now = d.now
+            if gw._cold_room(cold, 0.2, 0.5):
+                cold.credit -= 0.5
+                given[util] += 0.5
+    assert given[0.9] <= given[None] + 0.5
+    assert 1.2 * given[None] < given[0.3] < 0.6 * 3 * 0.2 * 0.1 * 1000
+
+
 @pytest.mark.parametrize("part", [0.02, 0.2, 0.7])
 def test_cold_parts_under_one_request_add_up_over_the_fleet(part: float) -> None:
     sent = 0
--- a/yewstage/interface.py
+++ b/yewstage/interface.py
@@ -150,7 +150,7 @@
     final: bool
     use_percent: float = 0.0  # 1 + the customer's metered use; 0: not told
     true_units: float = 0.0  # 0: not told
-    report: dict[str, float] = field(default_factory=dict)
+    report: dict[str, float] = field(default_factory=dict)  # of its load: util, inflight, queue, or some
 
 
 @dataclass(slots=True, frozen=True)
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 from yewstage import interface as api
+from yewstage import wire
 from yewstage.net.config import Config
 from yewstage.net.counter import Counter
 from yewstage.net.discovery import Discovery, Listing
@@ -344,6 +345,7 @@
         request.out -= 1
         took = self._took_ms(attempt, reply is not None)
         units = 0.0
+        report = _report(reply.headers.get(b"x-load", b"")) if reply is not None else {}
         if result == api.OK:
             units = _number(reply.headers.get(b"billed-units"))
         if attempt is request.streaming:
@@ -353,7 +355,7 @@
         final = request.client is None
         self._forget(request)
         self._post(api.Outcome(attempt.request, attempt.number, attempt.server, result, took, final,
-                               true_units=units))
+                               true_units=units, report=report))
 
     def _took_ms(self, attempt: Attempt, answered: bool = True) -> float:
         """What a host needed: to the head of its answer, however slowly the rest comes.
@@ -445,6 +447,14 @@
              took_ms, "; ".join("not sent" if a is None else str(a) for a in request.attempts) or "none")
 
 
+def _report(text: bytes) -> dict[str, float]:
+    """A server's load report; nothing where it makes no sense."""
+    try:
+        return wire.report(text.decode("ascii").replace(" ", "").replace("=", ":") or "-")
+    except ValueError:
+        return {}
+
+
 def _number(text: bytes | None) -> float:
     """A header's positive number; 0 where there is none."""
     try:
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -27,6 +27,7 @@
 FAR = 4.0  # a server that others hold is sought at so many times the load
 BAD = 2.5  # a host this many times slower than the fleet is unwell: no q samples, no patience
 COLD_MARGIN = 0.5  # part of the cold budget that we use: capacity is only guessed and others may run ahead
+IDLE, NEWS_MS = 0.7, 2000.0  # a cold host that reported less use is warmer than it must be; for how long
 RETRY_SHARE, RETRY_BANK = 0.2, 10.0  # further attempts per admitted request, and how many may be saved up
 PATIENCE, LOST = 2.5, 0.06  # usual latencies before an answer is missed; share missed that shows a loss
 TRIES = 64  # last tries of a class that tell its usual time left
@@ -62,10 +63,12 @@
     """What this gateway knows of one server."""
 
     __slots__ = ("name", "zone", "cell", "nominal", "up", "born", "cold_from_ms", "open", "slow", "strikes",
-                 "fails", "down_until", "died", "credit", "credit_at", "rank")
+                 "fails", "down_until", "died", "credit", "credit_at", "rank",
+                 "util", "told_at")
 
     def __init__(self, server: api.Server, rank: int) -> None:
         self.name, self.rank = server.name, rank
+        self.util, self.told_at = 1.0, 0.0  # how busy it reported to be, and when
         self.open = 0
         self.slow = 1.0  # running latency over its class's usual one
         self.strikes = self.fails = 0
@@ -673,7 +676,9 @@
             return False
         if self.warm_rate <= 0:
             return host.open == 0 and self.rng.random() * self.holders < 1
-        rate = min(COLD_MARGIN * self.s.fall_multiple, 1.0) * warmth * self.warm_rate
+        most, told = COLD_MARGIN * self.s.fall_multiple, self.now - NEWS_MS < host.told_at
+        idle = told and host.told_at > host.cold_from_ms and host.util < IDLE
+        rate = (most if idle else min(most, 1.0)) * warmth * self.warm_rate
         span = self.now - max(host.credit_at, host.cold_from_ms)
         host.credit = min(host.credit + rate * span, rate * self.s.tip_after_ms / 2)
         host.credit_at = self.now
@@ -726,6 +731,8 @@
     def _judge(self, held: _Held, host: _Host, event: api.Outcome) -> None:
         """What an outcome says of its host."""
         usual = self._usual(held)
+        if "util" in event.report:
+            host.util, host.told_at = event.report["util"], self.now
         if event.result == api.OK:
             if host.died:
                 # Danger: a host back from the dead is cold long before the list says so.
--- a/yewstage/wire.py
+++ b/yewstage/wire.py
@@ -12,6 +12,7 @@
            "ConnectError": api.CONNECT_FAILED, "ResetByPeer": api.RESET, "Canceled": api.CANCELLED,
            "Ignored": api.MOOT}
 LIST_KINDS = {"Partial": "changes", "Complete": "full", "Persisted": "kept", "Error": "failed"}
+REPORTS = {"load_share": "util", "concurrent": "inflight", "depth": "queue"}  # by the interface's names
 STATUSES = ("up", "draining", "removed")
 
 
@@ -77,7 +78,7 @@
             name, colon, value = pair.partition(":")
             if not colon:
                 raise WireError(f"bad load report {text!r}")
-            values[name] = number(value)
+            values[REPORTS.get(name, name)] = number(value)
     return values
 
 
