Let a dial that met nobody cost nothing of the budget for retries

Ruled out: time (one millisecond of 2.5 s was used), attempts (six are allowed). Line at fault: policy.py _again, one price whatever the attempt came to.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -416,6 +416,18 @@
     assert [type(act) for act in out] == [kind]
 
 
+@pytest.mark.parametrize(("result", "tries"), [(api.CONNECT_FAILED, 4), (api.FULL, 1), (api.ERROR, 1)])
+def test_only_attempts_that_met_a_server_spend_what_retries_may(result: str, tries: int) -> None:
+    d = Driver(servers=8)
+    d.gateway.bank = 0.0
+    rid, out = d.ask()
+    sends = 0
+    while of(out, api.Send):
+        sends += 1
+        out = d.end(rid, result, took=1)
+    assert sends == tries and of(out, api.Refuse if result in api.NEVER_RAN else api.Fail)
+
+
 # --- A fleet's sum ---
 
 
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -876,7 +876,7 @@
             self._sync(held.use, held.req.customer)
         if event.final or event.result == api.OK or held.answered:
             self._finish(held)
-        elif not any(a.open for a in held.attempts) and not self._again(held):
+        elif not any(a.open for a in held.attempts) and not self._again(held, event.result):
             self._answer(held)
 
     def _learn(self, held: _Held, attempt: _Attempt, event: api.Outcome) -> None:
@@ -887,13 +887,18 @@
     def _usual(self, held: _Held) -> float:
         return self.latency[held.cls.name] * max(held.req.units, 1e-6)
 
-    def _again(self, held: _Held) -> bool:
-        """A further attempt if it can still be in time and is paid for."""
-        if self.bank < 1 or held.aim_at - self.now <= max(self._usual(held), 2 * self.s.tick_ms):
+    def _again(self, held: _Held, result: str) -> bool:
+        """A further attempt if it can still be in time and is paid for.
+
+        One that met nobody cost no server anything. Danger: with most of its list gone a gateway would spend
+        all that it may on refused dials, and give up what the next server takes.
+        """
+        price = result != api.CONNECT_FAILED
+        if self.bank < price or held.aim_at - self.now <= max(self._usual(held), 2 * self.s.tick_ms):
             return False
         host = self._pick(held)
         if host is not None:
-            self.bank -= 1
+            self.bank -= price
             self._send(held, host)
         return host is not None
 
