Hold further servers until twelve do not fail: a loss left some gateways three

Checked: attempts by server and gateway; a gateway's live servers are six or seven of fourteen in the mean, but three for some, and another server is sought at four times the load only. Line at fault: policy.py, the holders were counted once from the length of the list, the dead ones included.

--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -23,7 +23,7 @@
 GAIN = 0.2  # weight of one outcome in a host's or class's running mean
 BACKOFF_MS, BACKOFF_MAX_MS = 500.0, 4000.0  # a failing host's rest before one trial, doubled to the second
 STRIKES = 3  # slow or failed answers in a row that count as a host's failure
-HOLDERS, HELD = 10, 12  # gateways that send to one server, where that leaves each so many servers
+HOLDERS, HELD = 10, 12  # gateways that send to one server, where that leaves each so many well ones
 FAR = 4.0  # a server that others hold is sought at so many times the load
 BAD = 2.5  # a host this many times slower than the fleet is unwell: no q samples, no patience
 COLD_MARGIN = 0.5  # part of the cold budget that we use: capacity is only guessed and others may run ahead
@@ -252,10 +252,18 @@
                 self.hosts[server.name].update(server)
             else:
                 self.hosts[server.name] = _Host(server, self._rank(server.name))
-        # Danger: all dial all, and know each from one answer in many seconds. A server needs some gateways,
-        # which keep connections and hear of it often; a gateway needs some servers. A small fleet holds all.
-        fleet = self.s.fleet_size
-        self.holders = min(fleet, max(HOLDERS, math.ceil(fleet * HELD / max(len(self.hosts), 1))))
+        self._share_out()
+
+    def _share_out(self) -> None:
+        """Choose the servers that we hold.
+
+        Danger: all dial all, and know each from one answer in many seconds. A server needs some gateways,
+        which keep connections and hear of it often. A gateway needs some servers: left with few, by chance or
+        by a loss, it would fill them before it looked further. A small fleet holds all.
+        """
+        ranks = sorted(h.rank for h in self.hosts.values() if h.up and not h.fails)
+        enough = ranks[min(HELD, len(ranks)) - 1] + 1 if ranks else 0
+        self.holders = min(self.s.fleet_size, max(HOLDERS, enough))
 
     def _rank(self, name: str) -> int:
         """Our place in a server's own order of all gateways, on which they agree without a word."""
@@ -911,6 +919,7 @@
         memory = min(memory, self.now - self.born)
         keep = memory / (memory + span)
         self.done_rate = keep * self.done_rate + (1 - keep) * self.done / span
+        self._share_out()
         slow = sorted(h.slow for h in self.hosts.values() if h.up)
         self.mid = max(slow[len(slow) // 2], 1.0) if slow else 1.0
         self.many_fail = 2 * sum(1 for h in self.hosts.values() if h.up and h.fails) > len(slow)
