Show what the process costs, what its descriptors are for and what becomes of links

Need: nobody could say what a request costs, what the descriptors are for or why links end.

Design: each figure is counted where the thing happens (a descriptor when it is opened and when it is closed), so that a scrape only reads; what the system keeps anyway (CPU, memory, open files) is read when asked. Dials of servers, counter and discovery become one mechanism, which has to count them; links move out of hosts.py into pool.py, where their reasons are known. Not taken: a sampler on the heartbeat (it misses peaks), a client library for the text form (two dozen lines that exist already, against a registry of its own).

Behaviour is meant to stay as it was but for one thing: a dial that runs out of time has two more ms in which a connection that is up counts, as attempts already had.

--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -4,12 +4,10 @@
 
 import asyncio
 import contextlib
-import heapq
 import os
 import random
 import time
 from collections.abc import Callable
-from functools import partial
 
 import pytest
 from conftest import (
@@ -25,6 +23,7 @@
     read_message,
     reply,
 )
+from virtual import VirtualLoop
 
 from yewstage import interface as api
 from yewstage.net import clients as clients_module
@@ -264,11 +263,11 @@
         host = await Fake(lambda seen: reply(b"served")).start()
         ended: asyncio.Queue[str] = asyncio.Queue()
         hosts = Hosts(BreakingLoop(1), 8, 250, 15000, Told(ended.put_nowait))
-        hosts.update({"s-0": (LOOP, host.port)}, set())
+        hosts.pool.update({"s-0": (LOOP, host.port)}, set())
         for result in (api.CONNECT_FAILED, api.OK):
             hosts.send(Attempt("r1", 0, "s-0", an_order().head + b"\r\n", 0.0), 60)
             assert await ended.get() == result
-        hosts.stop()
+        hosts.pool.stop()
         host.stop()
     on_loop(scenario)
 
@@ -296,7 +295,7 @@
     async def scenario() -> None:
         ended: list[str] = []
         hosts = Hosts(asyncio.get_running_loop(), 0, 250, 15000, Told(ended.append))
-        hosts.update({"s-0": (LOOP, 1)}, set())
+        hosts.pool.update({"s-0": (LOOP, 1)}, set())
         hosts.send(Attempt("r1", 0, "s-0", b"", 0.0), 60)
         assert ended == [api.MOOT]
     on_loop(scenario)
@@ -342,59 +341,9 @@
     assert parse(raw).settings.count_wait_ms == pytest.approx(wait_ms)
 
 
-class RefusingLoop:
-    """Virtual time on which every dial is refused at once; remembers when each was made."""
-
-    def __init__(self) -> None:
-        self.now, self.dials, self._due, self._serial = 0.0, [], [], 0
-
-    def call_later(self, delay: float, callback: Callable) -> Due:
-        return self._push(delay, Due(callback))
-
-    def _push(self, delay: float, due: Due) -> Due:
-        self._serial += 1
-        heapq.heappush(self._due, (self.now + delay, self._serial, due))
-        return due
-
-    def create_connection(self, make: Callable, host: str, port: int) -> None:
-        self.dials.append(self.now)
-
-    def create_task(self, dial: None) -> Due:
-        return self._push(0.001, Refused(lambda: None))
-
-    def run(self, until: float) -> None:
-        while self._due[0][0] < until:
-            self.now, _, due = heapq.heappop(self._due)
-            if not due.cancelled():
-                due.callback()
-
-
-class Due:
-    """What is to be called at a time."""
-
-    def __init__(self, callback: Callable) -> None:
-        self.callback, self._cancelled = callback, False
-
-    def cancel(self) -> None:
-        self._cancelled = True
-
-    def cancelled(self) -> bool:
-        return self._cancelled
-
-
-class Refused(Due):
-    """A dial's task that ends with a refusal."""
-
-    def add_done_callback(self, callback: Callable) -> None:
-        self.callback = partial(callback, self)
-
-    def exception(self) -> Exception:
-        return ConnectionRefusedError()
-
-
 @pytest.mark.parametrize("size", [3, 40])
 def test_a_fleet_that_is_turned_away_at_one_moment_comes_back_spread_out(size: int) -> None:
-    loop = RefusingLoop()
+    loop = VirtualLoop()
     for n in range(size):
         Discovery(loop, (LOOP, 1), lambda listing: None, 1, size, random.Random(n)).start()
     loop.run(30.0)
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -29,6 +29,7 @@
 from yewstage import interface as api
 from yewstage.net import clients as clients_module
 from yewstage.net.config import ConfigError, load, reload
+from yewstage.net.stats import Stats
 
 
 def raw() -> dict:
@@ -195,7 +196,7 @@
 def test_a_dropped_class_is_taken_a_little_longer() -> None:
     async def scenario() -> None:
         loop = asyncio.get_running_loop()
-        core = type("Core", (), {"settings": settings()})
+        core = type("Core", (), {"settings": settings(), "stats": Stats(())})
         server = clients_module.Server(core, loop, 100)
         timers = []
         server.loop = type("Loop", (), {"call_later": lambda s, wait, *call: timers.append((wait, call))})()
--- a/yewstage/__main__.py
+++ b/yewstage/__main__.py
@@ -180,7 +180,7 @@
         loop.add_signal_handler(number, shutdown.begin)
     loop.add_signal_handler(signal.SIGHUP, _reconfigure, core, server, config)
     core.start()
-    ops = Ops(loop, core.ready, core.figures)
+    ops = Ops(loop, core.ready, core.figures, core.stats.descriptors.uses["ops"])
     if config.ops is not None:
         logging.info("operators' address %s:%d", *await ops.start(config.ops))
     host, port = server.start(config.listen, config.listen_fd)
@@ -194,6 +194,7 @@
     succession.stop()
     ops.stop()
     core.stop()
+    logging.info("ended: %s", core.farewell())
 
 
 def main() -> int:
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -17,8 +17,8 @@
 
 from yewstage import interface as api
 from yewstage.net.core import Core, Order
-from yewstage.net.hosts import Source
 from yewstage.net.http1 import LONGEST_BODY, Upload, narrow
+from yewstage.net.pool import Source
 
 log = logging.getLogger(__name__)
 
@@ -186,6 +186,7 @@
         self.transport = transport
         self.since = self.heard_at = self._server.now()
         self._server.connections.add(self)
+        self._server.use.opened()
 
     def data_received(self, data: bytes) -> None:
         self.heard_at = self._server.now()
@@ -612,6 +613,7 @@
         self.core, self.loop = core, loop
         self.names = Names(core.settings)
         self.connections: set[ClientConnection] = set()
+        self.use = core.stats.descriptors.uses["clients"]
         self._sockets = sockets
         self._socket: socket.socket | None = None
         self._open = self._accepting = False
@@ -678,6 +680,7 @@
     def closed(self, connection: ClientConnection) -> None:
         """A connection is gone; there is room for another."""
         self.connections.discard(connection)
+        self.use.closed()
         self._resume()
 
     def _resume(self) -> None:
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -16,8 +16,9 @@
 from yewstage.net.config import Config
 from yewstage.net.counter import Counter
 from yewstage.net.discovery import Discovery, Listing
-from yewstage.net.hosts import Attempt, Hosts, Source
+from yewstage.net.hosts import Attempt, Hosts
 from yewstage.net.http1 import Reply, Upload
+from yewstage.net.pool import Source
 from yewstage.net.stats import Stats
 from yewstage.policy import Gateway
 
@@ -109,11 +110,15 @@
         self._gateway = Gateway(config.settings, config.seed)
         self.stats = Stats(c.name for c in config.settings.classes)
         self._most = int(UPSTREAM_SHARE * config.sockets)
-        self._hosts = Hosts(loop, self._most, config.dial_ms, config.idle_ms, self)
+        uses = self.stats.descriptors.uses
+        self._hosts = Hosts(loop, self._most, config.dial_ms, config.idle_ms, self, uses["servers"])
+        self._pool = self._hosts.pool
         self._discovery = Discovery(loop, config.discovery, self._listed,
                                     config.known.generation if config.known.servers else None,
-                                    config.settings.fleet_size, random.Random(config.seed))
-        self._counter = (Counter(loop, config.counter, config.settings.count_wait_ms, self._post)
+                                    config.settings.fleet_size, random.Random(config.seed),
+                                    uses["discovery"])
+        self._counter = (Counter(loop, config.counter, config.settings.count_wait_ms, self._post,
+                                 uses["counter"])
                          if config.counter is not None else None)
         self._known = config.known
         self._requests: dict[str, _Open] = {}
@@ -134,7 +139,7 @@
         """Begin with the known list, then listen to discovery and the counter."""
         self._started = time.monotonic()
         self._apply(self._known, "kept")
-        self._hosts.start()
+        self._pool.start()
         self._discovery.start()
         if self._counter is not None:
             self._counter.start()
@@ -153,7 +158,7 @@
     def share(self, shared: bool) -> None:
         """Go on with half of the descriptors, or with all of them."""
         self.shared = shared
-        self._hosts.most = self._most // (2 if shared else 1)
+        self._pool.most = self._most // (2 if shared else 1)
 
     def hand_over(self) -> dict[str, object]:
         """What the next process must know; from now on that process holds it."""
@@ -171,19 +176,23 @@
     def stop(self) -> None:
         """Close everything towards the back end."""
         self._discovery.stop()
-        self._hosts.stop()
+        self._pool.stop()
         if self._counter is not None:
             self._counter.stop()
 
     def ready(self) -> bool:
         """Whether requests can be served: hosts are known, by discovery's word if it speaks at all."""
-        if self.draining or not self._hosts.names():
+        if self.draining or not self._pool.names():
             return False
         return self._heard or time.monotonic() - self._started > LIST_WAIT_S
 
     def figures(self) -> str:
         """What operators read."""
-        return self.stats.text(self._owed, *self._gateway.rotation())
+        return self.stats.text(self._owed, *self._gateway.rotation(), self._pool.figures())
+
+    def farewell(self) -> str:
+        """What this life came to, for the log."""
+        return self.stats.farewell(self._pool.dials())
 
     def fail_all(self) -> None:
         """Answer all that is open as failed: the process is about to end."""
@@ -293,12 +302,12 @@
     def _apply(self, listing: Listing, kind: str) -> None:
         gone = {s.name for s in listing.servers if s.status == "removed"}
         if kind != "changes":  # a whole list replaces the old one
-            gone |= self._hosts.names() - {s.name for s in listing.servers}
-        self._hosts.update(listing.addresses, gone)
+            gone |= self._pool.names() - {s.name for s in listing.servers}
+        self._pool.update(listing.addresses, gone)
         if listing.servers or kind != "changes":
             states = ", ".join(f"{s.name} {s.status}" for s in listing.servers)
             log.info("list %d, %s: %s; %d hosts can be dialled", listing.generation, kind, states,
-                     len(self._hosts.names()))
+                     len(self._pool.names()))
             self._post(api.ServerList(kind, listing.servers))
 
     def _send(self, act: api.Send) -> None:
--- a/yewstage/net/counter.py
+++ b/yewstage/net/counter.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable
 
 from yewstage import interface as api
-from yewstage.net.http1 import Reply, ReplyProtocol, dialled
+from yewstage.net.http1 import Dial, Reply, ReplyProtocol
+from yewstage.net.stats import Use
 
 CONNECTIONS = 4  # a slow part of the counter holds up what is written behind it on the same connection
 DIAL_S = 0.25
@@ -30,7 +31,8 @@
     """Every call gets exactly one `CountReply`."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], wait_ms: float,
-                 replied: Callable[[api.CountReply], None]) -> None:
+                 replied: Callable[[api.CountReply], None], use: Use | None = None) -> None:
+        self._use = use or Use()
         self._loop, self._address, self._wait_s, self._replied = loop, address, wait_ms / 1000, replied
         self._slots = [_Slot(self) for _ in range(CONNECTIONS)]
 
@@ -80,9 +82,17 @@
         # The call stays in its connection's line, so that its late answer is not taken for the next one's.
         self.end(call, api.TIMED_OUT if call.written else api.CONNECT_FAILED)
 
-    def target(self) -> tuple[asyncio.AbstractEventLoop, tuple[str, int]]:
-        """The loop, and where to dial."""
-        return self._loop, self._address
+    def now(self) -> float:
+        """The loop's time."""
+        return self._loop.time()
+
+    def later(self, seconds: float, callback: Callable[[], None]) -> asyncio.TimerHandle:
+        """A timer of the loop."""
+        return self._loop.call_later(seconds, callback)
+
+    def dial(self, slot: _Slot) -> Dial:
+        """Open a connection for a slot."""
+        return Dial(self._loop, lambda: _Connection(slot), self._address, DIAL_S, self._use, slot.dialled)
 
 
 class _Slot:
@@ -91,8 +101,7 @@
     def __init__(self, counter: Counter) -> None:
         self._counter = counter
         self._connection: _Connection | None = None
-        self._dial: asyncio.Task | None = None
-        self._dial_timer: asyncio.TimerHandle | None = None
+        self._dial: Dial | None = None
         self._check_timer: asyncio.TimerHandle | None = None
         self._calls: deque[_Call] = deque()
         self._failures = 0
@@ -100,8 +109,8 @@
 
     def usable(self) -> bool:
         """Whether a call may be written, or wait for a dial that is under way."""
-        loop, _ = self._counter.target()
-        return self._connection is not None or self._dial is not None or loop.time() >= self._rests_until
+        return (self._connection is not None or self._dial is not None
+                or self._counter.now() >= self._rests_until)
 
     def load(self) -> int:
         """Calls out, those on a connection that is not up yet counting for more."""
@@ -122,15 +131,11 @@
 
     def dial(self) -> None:
         """Open the connection."""
-        loop, address = self._counter.target()
-        self._dial = loop.create_task(loop.create_connection(lambda: _Connection(self), *address))
-        self._dial.add_done_callback(self._dialled)
-        self._dial_timer = loop.call_later(DIAL_S, self._dial.cancel)
+        self._dial = self._counter.dial(self)
 
-    def _dialled(self, task: asyncio.Task) -> None:
+    def dialled(self, connection: _Connection | None, cause: str) -> None:
+        """What the dial came to."""
         self._dial = None
-        self._dial_timer.cancel()
-        connection, _ = dialled(task)
         if connection is None:
             self._broken()
             return
@@ -141,14 +146,13 @@
             self._send(call)
 
     def _send(self, call: _Call) -> None:
-        loop, _ = self._counter.target()
         act = call.act
         self._connection.write(
             f"POST /v1/count/{act.name}?add={_decimal(act.amount)}&ttl_ms={max(1, round(act.keep_ms))}"
             " HTTP/1.1\r\nHost: counter\r\nContent-Length: 0\r\n\r\n".encode())
         call.written = not self._connection.unsent
         if self._check_timer is None:
-            self._check_timer = loop.call_later(SILENT_S, self._check)
+            self._check_timer = self._counter.later(SILENT_S, self._check)
 
     def flushed(self) -> None:
         """All that was written has left this process."""
@@ -160,10 +164,9 @@
         self._check_timer = None
         if not self._calls or self._connection is None:
             return
-        loop, _ = self._counter.target()
-        left_s = self._calls[0].sent_at + SILENT_S - loop.time()
+        left_s = self._calls[0].sent_at + SILENT_S - self._counter.now()
         if left_s > 0:
-            self._check_timer = loop.call_later(left_s, self._check)
+            self._check_timer = self._counter.later(left_s, self._check)
         else:
             self._connection.drop()
 
@@ -198,11 +201,10 @@
 
     def _broken(self) -> None:
         """Report what was out; the next call dials again, after a rest if this goes on."""
-        loop, _ = self._counter.target()
         self._failures += 1
         if self._failures > 1:
             rest = min(BACKOFF_S * 2 ** min(self._failures - 2, 10), BACKOFF_MAX_S)
-            self._rests_until = loop.time() + rest
+            self._rests_until = self._counter.now() + rest
         calls, self._calls = self._calls, deque()
         for call in calls:
             self._counter.end(call, api.TIMED_OUT if call.written else api.CONNECT_FAILED)
--- a/yewstage/net/discovery.py
+++ b/yewstage/net/discovery.py
@@ -10,7 +10,8 @@
 from dataclasses import dataclass
 
 from yewstage import interface as api
-from yewstage.net.http1 import LONGEST_LIST, Reply, ReplyProtocol, dialled
+from yewstage.net.http1 import LONGEST_LIST, TOO_LATE, Dial, Reply, ReplyProtocol
+from yewstage.net.stats import Use
 
 log = logging.getLogger(__name__)
 
@@ -75,13 +76,14 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int],
                  told: Callable[[Listing], None], known: int | None = None, fleet_size: int = 1,
-                 rng: random.Random | None = None) -> None:
+                 rng: random.Random | None = None, use: Use | None = None) -> None:
+        self._use = use or Use()
         self._loop, self._address, self._told = loop, address, told
         self._generation = known  # of the list that we have; None: the whole list is wanted
         self._heard = False
         self._fleet_size, self._rng = fleet_size, rng or random.Random()
         self._connection: _Watch | None = None
-        self._dial: asyncio.Task | None = None
+        self._dial: Dial | None = None
         self._timer: asyncio.TimerHandle | None = None  # the end of our patience, or of a rest
         self._failures = 0
         self._stopped = False
@@ -119,15 +121,13 @@
         if self._connection is not None:
             self._write(self._connection)
             return
-        self._watch_silence(SILENT_S)
-        self._dial = self._loop.create_task(
-            self._loop.create_connection(lambda: _Watch(self), *self._address))
-        self._dial.add_done_callback(self._dialled)
+        self._dial = Dial(self._loop, lambda: _Watch(self), self._address, SILENT_S, self._use, self._dialled)
 
-    def _dialled(self, task: asyncio.Task) -> None:
+    def _dialled(self, connection: _Watch | None, cause: str) -> None:
         self._dial = None
-        connection, _ = dialled(task)
         if connection is None:
+            if cause == TOO_LATE:
+                log.warning("discovery: cannot be reached, asking again; the list is kept")
             self._retry()
             return
         self._connection = connection
@@ -148,9 +148,7 @@
     def _given_up(self) -> None:
         # Guards against an agent that is silent for good: without this the watch would hang on one socket.
         log.warning("discovery: no answer, asking again; the list is kept")
-        if self._dial is not None:
-            self._dial.cancel()
-        elif self._connection is not None:
+        if self._connection is not None:
             self._connection.drop()
 
     def replied(self, connection: _Watch, reply: Reply, reusable: bool) -> None:
--- a/yewstage/net/http1.py
+++ b/yewstage/net/http1.py
@@ -9,9 +9,14 @@
 
 import httptools
 
+from yewstage.net.stats import Use
+
 LONGEST_BODY = 64 * 1024  # kept whole; what is longer is passed on as it comes
 BUFFER = 128 * 1024  # of a socket that carries such a body
 LONGEST_LIST = 4 * 1024 * 1024
+DIAL_GRACE_S = 0.002  # a turn of the loop or two, in which a connection that is up counts before a time-out
+# Why a dial came to nothing, where it is not the system that tells.
+TOO_LATE, GIVEN_UP, BROKEN = "dial timed out", "dial given up", "broken when dialled"
 
 
 @dataclass(slots=True)
@@ -85,18 +90,50 @@
         self._host.flushed()
 
 
-def dialled(task: asyncio.Task) -> tuple[ReplyProtocol | None, str]:
-    """The connection that a dial came to, or None and why there is none.
+class Dial:
+    """One attempt to connect: bounded in time, its end told once, its descriptor counted from the start.
 
     A connection may break before its dial's callback runs. Its loss has been told by then and is not told
     again: whoever kept it would write to a dead transport for good.
     """
-    if task.cancelled():
-        return None, "dial cancelled"
-    if task.exception() is not None:
-        return None, str(task.exception())
-    transport, connection = task.result()
-    return (None, "broken when dialled") if transport.is_closing() else (connection, "")
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, make: Callable[[], ReplyProtocol],
+                 address: tuple[str, int], within_s: float, use: Use,
+                 ended: Callable[[ReplyProtocol | None, str], None]) -> None:
+        self._loop, self._make, self._use, self._ended = loop, make, use, ended
+        self._made: ReplyProtocol | None = None
+        self._late = False
+        use.opened()
+        self._task = loop.create_task(loop.create_connection(self._connection, *address))
+        self._task.add_done_callback(self._done)
+        self._timer = loop.call_later(within_s, self._overdue)
+
+    def cancel(self) -> None:
+        """Give it up; its end is told all the same."""
+        self._task.cancel()
+
+    def _connection(self) -> ReplyProtocol:
+        self._made = self._make()
+        self._made.use = self._use
+        return self._made
+
+    def _overdue(self) -> None:
+        # Guards against our own stall: the connection may be up and the loop may not have looked yet.
+        self._late = True
+        self._timer = self._loop.call_later(DIAL_GRACE_S, self._task.cancel)
+
+    def _done(self, task: asyncio.Task) -> None:
+        self._timer.cancel()
+        if self._made is None or self._made.transport is None:
+            self._use.closed()  # else its connection gives the descriptor back
+        if task.cancelled():
+            self._ended(None, TOO_LATE if self._late else GIVEN_UP)
+        elif task.exception() is not None:
+            self._ended(None, str(task.exception()))
+        elif task.result()[0].is_closing():
+            self._ended(None, BROKEN)
+        else:
+            self._ended(task.result()[1], "")
 
 
 class ReplyProtocol(asyncio.Protocol):
@@ -104,6 +141,7 @@
 
     def __init__(self, longest: int = LONGEST_BODY) -> None:
         self.transport: asyncio.Transport | None = None
+        self.use: Use | None = None  # what its descriptor counts as
         self.unsent = False  # part of what we wrote has not left this process
         self.ended_by = ""  # for the log: why the connection ended
         self._parser = httptools.HttpResponseParser(self)
@@ -159,6 +197,8 @@
             self._complete(reusable=False)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        if self.use is not None:
+            self.use.closed()
         self.ended_by = self.ended_by or str(exc or "closed")
         self.lost()
 
--- a/yewstage/net/ops.py
+++ b/yewstage/net/ops.py
@@ -7,6 +7,8 @@
 
 import httptools
 
+from yewstage.net.stats import Use
+
 CALLERS = 16  # places kept for operators, beside all that clients and hosts may take
 CALL_S = 5.0  # how long a call may take in all
 LONGEST_CALL = 16 * 1024
@@ -19,7 +21,8 @@
     """Answers operators however busy the clients keep the gateway."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, ready: Callable[[], bool],
-                 figures: Callable[[], str]) -> None:
+                 figures: Callable[[], str], use: Use | None = None) -> None:
+        self._use = use or Use()
         self.loop, self._ready, self._figures = loop, ready, figures
         self._callers: dict[_Call, None] = {}  # in the order in which they came
         self._server: asyncio.Server | None = None
@@ -41,10 +44,12 @@
         if len(self._callers) >= CALLERS:
             next(iter(self._callers)).transport.abort()
         self._callers[call] = None
+        self._use.opened()
 
     def closed(self, call: _Call) -> None:
         """A caller is gone."""
         self._callers.pop(call, None)
+        self._use.closed()
 
     def reply(self, method: bytes, path: bytes) -> tuple[int, bytes]:
         """Status and body for one call."""
--- a/yewstage/net/stats.py
+++ b/yewstage/net/stats.py
@@ -2,12 +2,91 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import os
+import resource
+import sys
+import time
+from collections.abc import Iterable, Mapping
 
 SERVED = frozenset((200,))
 REFUSED = frozenset((429, 503))
 
 
+USES = ("clients", "servers", "counter", "discovery", "ops")
+STATM = "/proc/self/statm"
+OPEN_FILES = "/proc/self/fd"
+
+
+class Use:
+    """Descriptors held for one purpose."""
+
+    __slots__ = ("held", "_all")
+
+    def __init__(self, all_uses: Descriptors | None = None) -> None:
+        self.held, self._all = 0, all_uses
+
+    def opened(self) -> None:
+        """One more."""
+        self.held += 1
+        if self._all is not None:
+            self._all.note(1)
+
+    def closed(self) -> None:
+        """One given back."""
+        self.held -= 1
+        if self._all is not None:
+            self._all.note(-1)
+
+
+class Descriptors:
+    """What the process's sockets are for, counted as they open and close: the system tells only how many."""
+
+    def __init__(self) -> None:
+        self.uses = {name: Use(self) for name in USES}
+        self.held = self.peak = 0
+
+    def note(self, change: int) -> None:
+        """A use has changed."""
+        self.held += change
+        self.peak = max(self.peak, self.held)
+
+
+class Process:
+    """What the process costs, by the standard names. Read when asked: the system keeps them."""
+
+    def __init__(self) -> None:
+        self._started, self._cpu_before_s = time.time(), self.cpu_s()
+
+    @staticmethod
+    def cpu_s() -> float:
+        """Processor time since the start, in user and kernel mode."""
+        used = resource.getrusage(resource.RUSAGE_SELF)
+        return used.ru_utime + used.ru_stime
+
+    def own_cpu_s(self) -> float:
+        """Processor time since this was made: without what the interpreter took to load."""
+        return self.cpu_s() - self._cpu_before_s
+
+    @staticmethod
+    def peak_bytes() -> int:
+        """The most memory that was resident at one time."""
+        return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * (1 if sys.platform == "darwin" else 1024)
+
+    def figures(self) -> list[tuple[str, float]]:
+        """Names and values; what this system does not tell is left out, not guessed."""
+        figures = [("process_cpu_seconds_total", round(self.cpu_s(), 6)),
+                   ("process_start_time_seconds", round(self._started, 3)),
+                   ("process_max_fds", resource.getrlimit(resource.RLIMIT_NOFILE)[0])]
+        try:
+            with open(STATM, "rb") as statm:
+                pages = int(statm.read().split()[1])
+            figures.append(("process_resident_memory_bytes", pages * resource.getpagesize()))
+            figures.append(("process_open_fds", len(os.listdir(OPEN_FILES)) - 1))  # less the one that lists
+        except OSError:
+            pass
+        return figures
+
+
 class Stats:
     """Counts since the start of the process."""
 
@@ -17,6 +96,8 @@
         self._faulted: dict[str, int] = {}
         self.relayed = 0  # attempts whose last byte was written
         self.accepted = self.invalid = 0  # configuration files at SIGHUP
+        self.descriptors = Descriptors()
+        self.process = Process()
         self.know(classes)
 
     def know(self, classes: Iterable[str]) -> None:
@@ -31,7 +112,12 @@
                   else self._throttled if status in REFUSED else self._faulted)
         counts[class_name] += 1
 
-    def text(self, open_requests: int, listed: int, avoided: int) -> str:
+    def requests(self) -> int:
+        """Final answers given, of whatever kind."""
+        return sum(sum(counts.values()) for counts in (self._fulfilled, self._throttled, self._faulted))
+
+    def text(self, open_requests: int, listed: int, avoided: int,
+             links: Mapping[str, float] | None = None) -> str:
         """All figures in the Prometheus text form; what is no count is given by who knows it."""
         lines = [f'gateway_{kind}_total{{priority="{_escaped(name)}"}} {count}'
                  for kind, counts in (("fulfilled", self._fulfilled), ("throttled", self._throttled),
@@ -40,9 +126,21 @@
         lines += [f"gateway_{name} {value}" for name, value in (
             ("relayed_total", self.relayed), ("open_requests", open_requests),
             ("registry_entries", listed), ("out_of_rotation", avoided),
-            ("cfg_accepted_total", self.accepted), ("cfg_invalid_total", self.invalid))]
+            ("cfg_accepted_total", self.accepted), ("cfg_invalid_total", self.invalid),
+            *(links or {}).items())]
+        lines += [f'gateway_descriptors{{use="{name}"}} {use.held}'
+                  for name, use in self.descriptors.uses.items()]
+        lines += [f"{name} {value}" for name, value in self.process.figures()]
         return "\n".join(lines) + "\n"
 
+    def farewell(self, dials: int) -> str:
+        """What the process's life came to, for the log."""
+        requests = self.requests()
+        each_us = self.process.own_cpu_s() / max(requests, 1) * 1e6
+        return (f"{requests} requests, {each_us:.0f} us CPU for each, at the most "
+                f"{self.process.peak_bytes() / 2 ** 20:.1f} MB and {self.descriptors.peak} sockets, "
+                f"{dials} dials to servers")
+
 
 def _escaped(label: str) -> str:
     return label.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
