Bound links by what a server answers within the aim; let requests wait for one, by turns

Need: every attempt opened a link or took an idle one; nothing bounded a server's links but our own descriptors, a dial died with its request, and links of a server's earlier life were found out by the requests that they cost.

Design: a dial belongs to nobody. Who wants a link stands in the server's line; what comes up or back first serves the head of the line, the classes by turns. The bound comes from the module: rate x aim (Little's law) by the server's part of the size that we hold, with one deviation more; before anything is seen, size and aims of the settings over the gateways that hold the server. So the parts of all gateways add up to what a server does within the aim, and a gateway with several times the mean load has several times the links. Not taken: an even split of a count (traffic is uneven, nobody is told what a server accepts), a pool that queues without end (a refusal must come at once), dials tied to their requests (a link that comes late is paid for and thrown away).

With it: links retire at random points within the idle limit; those of an earlier life, by startedAtMs, go at once; a dial that times out takes the idle links of its server along; a drain closes idle links; bytes on an idle link end it; descriptors that run out blame no server. A long body whose dial failed goes to another server, since nothing of it has left. A wait in vain costs no server anything, so it spends nothing of what retries may. SIGHUP takes idle limit, dial time and descriptors; nonsense in them is turned down whole.

--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -396,6 +396,31 @@
     assert any(isinstance(a, api.Refuse) and a.request == "r" for _, a in d.log)
 
 
+@pytest.mark.parametrize("result", [api.CONNECT_FAILED, api.MOOT])
+def test_the_module_sends_a_long_body_elsewhere_while_none_of_it_has_left(result: str) -> None:
+    d = Driver()
+    d.give(api.Request("u", "pay", "open", "c", 4000, 1, 3, 0, False, False))
+    first = of([act for _, act in d.log], api.Send)[0]
+    (second,) = of(d.give(api.Outcome("u", 0, first.server, result, 1, False, unbegun=True)), api.Send)
+    assert second.server != first.server and d.gateway.held["u"].loading
+    (refused,) = of(d.give(api.Outcome("u", 1, second.server, api.CONNECT_FAILED, 1, False)), api.Refuse)
+    assert refused.request == "u" and not d.gateway.held and d.gateway.uses["c"].loading == 0
+
+
+def test_a_long_body_whose_dial_failed_reaches_a_second_server_whole(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, lambda seen: reply(b"ok"), lambda seen: reply(b"ok")) as rig:
+            gone, here = rig.hosts
+            gone.stop()  # the list has it still
+            body = bytes(range(256)) * 1000
+            for n in range(8):
+                rid = b"body-%d" % n
+                assert await rig.status(message("put", body=body, rid=rid)) == 200
+            assert [seen.body for seen in here.seen] == [body] * 8 and not gone.seen
+            assert (await rig.figures())['gateway_dials_total{result="failed"}'] >= 1
+    on_loop(scenario)
+
+
 def test_what_is_on_its_way_stays_out_of_the_ceilings_store() -> None:
     """The store is asked for them once they are whole: until then our part must not fill up behind them."""
     d = Driver(may_count=False)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -454,6 +454,8 @@
     ('{"settings": {"grades": []}, "listen": "x"}', "classes"),
     ('{"settings": {"grades": [{"name": "a", "objective_ms": "soon"}]}}', "grades.0.objective_ms"),
     ('{"settings": {"grades": [{"name": "a", "objective_ms": 1, "deadline_ms": 2}]}}', "listen"),
+    ('{"settings": {"bounds": {"conn_idle_ms": -1}}}', "bounds.conn_idle_ms"),
+    ('{"settings": {"penalties": {"handshake": "dear"}}}', "penalties.handshake"),
 ])
 def test_bad_configuration_ends_the_start_with_one_line(tmp_path: Path, raw: str, field: str) -> None:
     path = tmp_path / "config.json"
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -128,6 +128,25 @@
         reload(told(tmp_path, json.dumps(tree).replace('"HERE"', value)), first)
 
 
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [(path, value) for path in ("bounds.conn_idle_ms", "bounds.dial_timeout_ms") for value in BAD]
+    + [("penalties.handshake", value) for value in BAD if value != "0"],
+)
+def test_nonsense_about_links_is_turned_down_at_start_and_at_reload(
+    tmp_path: Path, path: str, value: str
+) -> None:
+    tree = raw()
+    tree["settings"].setdefault("penalties", {})["handshake"] = 0.05
+    first = load(told(tmp_path, json.dumps(tree)))
+    assert first.settings.handshake == 0.05
+    change(f"settings.{path}", "HERE")(tree)
+    text = json.dumps(tree).replace('"HERE"', value)
+    for read in (load, lambda environ: reload(environ, first)):
+        with pytest.raises(ConfigError, match=f"{path}|is not a number$"):
+            read(told(tmp_path, text))
+
+
 @pytest.mark.parametrize("text", ["", "   ", json.dumps(raw())[:-40], "[]", "null", "[" * 100_000, "\udc80"])
 def test_a_file_that_is_not_whole_is_turned_down(tmp_path: Path, text: str) -> None:
     first = load(told(tmp_path, json.dumps(raw())))
--- a/yewstage/interface.py
+++ b/yewstage/interface.py
@@ -73,6 +73,7 @@
     cold_ms: float = 0.0
     fall_multiple: float = 1.0
     tip_after_ms: float = 0.0
+    handshake: float = 0.0  # price of a new connection, in first tries
 
     def check(self) -> None:
         """Refuse settings that make no sense, naming the field."""
@@ -93,7 +94,7 @@
             for name in ("rate", "burst", "ceiling_rate", "ceiling_burst", "ceiling_slack", "parallel"):
                 if getattr(p, name) < 0:
                     raise ValueError(f"plans[{p.name}].{name}: must not be negative")
-        for name in ("cold_ms", "fall_multiple", "tip_after_ms", "tick_ms", "try_limit"):
+        for name in ("cold_ms", "fall_multiple", "tip_after_ms", "tick_ms", "try_limit", "handshake"):
             if getattr(self, name) < 0:
                 raise ValueError(f"{name}: must not be negative")
 
@@ -151,6 +152,7 @@
     use_percent: float = 0.0  # 1 + the customer's metered use; 0: not told
     true_units: float = 0.0  # 0: not told
     report: dict[str, float] = field(default_factory=dict)  # of its load: util, inflight, queue, or some
+    unbegun: bool = False  # no byte of it has left: a body that is not kept is still whole
 
 
 @dataclass(slots=True, frozen=True)
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -628,6 +628,11 @@
         self.names = late
         self.loop.call_later(DROPPED_S, self._drop, late, names)
 
+    def resize(self, sockets: int) -> None:
+        """Go by another limit of descriptors: who is here stays, room is made or found as it comes."""
+        self._sockets = sockets
+        self._resume()
+
     def _drop(self, late: Names, names: Names) -> None:
         if self.names is late:  # else they were changed again
             self.names = names
--- a/yewstage/net/config.py
+++ b/yewstage/net/config.py
@@ -18,6 +18,9 @@
 LEAST_SOCKETS = 64  # leaves a reserve beside clients, hosts, counter, discovery, operators and the loop's own
 STEADY = {"name": "ROUTER_NAME", "listen": "ROUTER_LISTEN", "ops": "ROUTER_OPS"}  # for the process's life
 CALL_SHARE = 0.06  # of the shortest aim: what a call to the counter may take, where its own time is shorter
+# Of connections to servers: what holds if nothing is said, and the least that makes sense.
+LINKS = (("bounds.dial_timeout_ms", 250.0, 1.0), ("bounds.conn_idle_ms", 15000.0, 1.0),
+         ("penalties.handshake", 0.0, 0.0))
 LARGEST = 1e12  # no time in milliseconds and no count is larger
 
 
@@ -101,8 +104,8 @@
 
 def parse(raw: dict[str, object], listen_fd: int | None = None, keys: frozenset[str] = frozenset()) -> Config:
     """The object of the file as a `Config`."""
-    pairs = dict(_flatten("", _object(raw, "settings")))
-    settings = _settings(pairs)
+    links = _links(_object(raw, "settings"))
+    settings = _settings(dict(_flatten("", _object(raw, "settings"))))
     counter = raw.get("counter")
     if settings.may_count and not counter:
         raise ConfigError("counter: is missing, though the settings allow calls")
@@ -115,8 +118,7 @@
         counter=address(raw, "counter") if counter else None,
         ops=address(raw, "ops") if raw.get("ops") else None, listen_fd=listen_fd, seed=_seed(raw),
         sockets=_sockets(raw), settings=settings, known=known, keys=keys,
-        dial_ms=_positive(pairs, "bounds.dial_timeout_ms", 250.0),
-        idle_ms=_positive(pairs, "bounds.conn_idle_ms", 15000.0))
+        dial_ms=links["dial_timeout_ms"], idle_ms=links["conn_idle_ms"])
 
 
 def _descriptor(environ: Mapping[str, str]) -> int | None:
@@ -207,14 +209,18 @@
     return max(settings.count_wait_ms, CALL_SHARE * min(c.aim_ms for c in settings.classes))
 
 
-def _positive(pairs: dict[str, str], key: str, default: float) -> float:
-    try:
-        value = wire.number(pairs[key]) if key in pairs else default
-    except ValueError as error:
-        raise ConfigError(f"settings: {key}: {error}") from None
-    if value <= 0:
-        raise ConfigError(f"settings: {key}: must be above 0")
-    return value
+def _links(settings: dict[str, object]) -> dict[str, float]:
+    """What the settings say of connections to servers: how long they may be idle and dialled, their price."""
+    told = {}
+    for path, default, least in LINKS:
+        part, key = path.split(".")
+        group = settings.get(part)
+        value = group.get(key, default) if isinstance(group, dict) else default
+        number = isinstance(value, (int, float)) and not isinstance(value, bool)
+        if not number or not least <= value < LARGEST:
+            raise ConfigError(f"settings: {path}: {value!r} is not a number of {least:g} or more")
+        told[key] = float(value)
+    return told
 
 
 def _seed(raw: Mapping[str, object]) -> int:
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -111,7 +111,9 @@
         self.stats = Stats(c.name for c in config.settings.classes)
         self._most = int(UPSTREAM_SHARE * config.sockets)
         uses = self.stats.descriptors.uses
-        self._hosts = Hosts(loop, self._most, config.dial_ms, config.idle_ms, self, uses["servers"])
+        self._hosts = Hosts(loop, self._most, config.dial_ms, config.idle_ms, self, uses["servers"],
+                            bound=self._gateway.links, clock_ms=self._clock.now_ms,
+                            rng=random.Random(config.seed))
         self._pool = self._hosts.pool
         self._discovery = Discovery(loop, config.discovery, self._listed,
                                     config.known.generation if config.known.servers else None,
@@ -150,6 +152,9 @@
         """Go on by the new settings, and with discovery and the counter where they are now."""
         self.settings = config.settings
         self.stats.know(c.name for c in config.settings.classes)
+        self._pool.tune(config.dial_ms, config.idle_ms)
+        self._most = int(UPSTREAM_SHARE * config.sockets)
+        self.share(self.shared)
         self._post(api.Retuned(config.settings))
         self._discovery.move(config.discovery)
         if self._counter is not None and config.counter is not None:
@@ -158,7 +163,7 @@
     def share(self, shared: bool) -> None:
         """Go on with half of the descriptors, or with all of them."""
         self.shared = shared
-        self._pool.most = self._most // (2 if shared else 1)
+        self._pool.limit(self._most // (2 if shared else 1))
 
     def hand_over(self) -> dict[str, object]:
         """What the next process must know; from now on that process holds it."""
@@ -303,7 +308,8 @@
         gone = {s.name for s in listing.servers if s.status == "removed"}
         if kind != "changes":  # a whole list replaces the old one
             gone |= self._pool.names() - {s.name for s in listing.servers}
-        self._pool.update(listing.addresses, gone)
+        self._pool.update(listing.addresses, gone, {s.name: s.up_since_ms for s in listing.servers},
+                          {s.name for s in listing.servers if s.status == "draining"})
         if listing.servers or kind != "changes":
             states = ", ".join(f"{s.name} {s.status}" for s in listing.servers)
             log.info("list %d, %s: %s; %d hosts can be dialled", listing.generation, kind, states,
@@ -324,7 +330,8 @@
         left_s = min(left_s, order.time_left_ms / 1000)  # of a long body, whose time does not run yet
         wait_s = min(act.timeout_ms / 1000, left_s) if act.timeout_ms else left_s
         payload = b"%bX-Deadline: %dm\r\n\r\n%b" % (order.head, max(wait_s * 1000, 1), order.body)
-        attempt = Attempt(act.request, number, act.server, payload, time.monotonic(), order.upload)
+        attempt = Attempt(act.request, number, act.server, payload, time.monotonic(), order.upload,
+                          order.cls.name)
         request.attempts.append(attempt)
         request.out += 1
         self._hosts.send(attempt, max(wait_s, 0.0))
@@ -364,7 +371,7 @@
         final = request.client is None
         self._forget(request)
         self._post(api.Outcome(attempt.request, attempt.number, attempt.server, result, took, final,
-                               true_units=units, report=report))
+                               true_units=units, report=report, unbegun=not attempt.touched))
 
     def _took_ms(self, attempt: Attempt, answered: bool = True) -> float:
         """What a host needed: to the head of its answer, however slowly the rest comes.
--- a/yewstage/net/hosts.py
+++ b/yewstage/net/hosts.py
@@ -4,11 +4,10 @@
 
 import asyncio
 import time
-from functools import partial
 from typing import Protocol
 
 from yewstage import interface as api
-from yewstage.net.http1 import Dial, Reply, Upload
+from yewstage.net.http1 import Reply, Upload
 from yewstage.net.pool import ABANDONED, Link, Pool, Source, Stream
 from yewstage.net.stats import Use
 
@@ -31,19 +30,21 @@
 class Attempt:
     """One Send until its one outcome."""
 
-    __slots__ = ("request", "number", "server", "payload", "sent_at", "link", "dial", "timer",
-                 "done", "idle_s", "result", "took_s", "cause", "upload", "timeout_s",
-                 "begun_at")
+    __slots__ = ("request", "number", "server", "payload", "sent_at", "link", "timer", "wait_timer", "done",
+                 "idle_s", "result", "took_s", "cause", "upload", "timeout_s", "begun_at", "kind", "hosts",
+                 "waiting", "touched")
 
     def __init__(self, request: str, number: int, server: str, payload: bytes, sent_at: float,
-                 upload: Upload | None = None) -> None:
-        self.request, self.number, self.server = request, number, server
+                 upload: Upload | None = None, kind: str = "") -> None:
+        self.request, self.number, self.server, self.kind = request, number, server, kind
         self.payload, self.sent_at, self.upload = payload, sent_at, upload
         self.timeout_s = 0.0
         self.begun_at: float | None = None  # when its answer's head had come
+        self.hosts: Hosts | None = None
         self.link: Link | None = None
-        self.dial: Dial | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.wait_timer: asyncio.TimerHandle | None = None
+        self.waiting = self.touched = False  # for a link; something of it may have left
         self.done = False
         # For the log: how long its link had stood idle (None: a new one), and how it ended.
         self.idle_s: float | None = None
@@ -54,32 +55,32 @@
         cause = f": {self.cause}" if self.cause else ""
         return f"{self.server} {self.result} in {self.took_s * 1000:.0f} ms ({line}{cause})"
 
+    def linked(self, link: Link) -> None:
+        """There is a link for it."""
+        self.hosts.linked(self, link)
+
+    def unlinked(self, result: str, cause: str) -> None:
+        """There will be none."""
+        self.hosts.unlinked(self, result, cause)
+
 
 class Hosts:
     """Sends attempts and reports how each one ended, exactly once."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, most: int, dial_ms: float, idle_ms: float,
-                 owner: Owner, use: Use | None = None) -> None:
+                 owner: Owner, use: Use | None = None, **how: object) -> None:
         self.loop, self._owner = loop, owner
-        self.pool = Pool(loop, most, dial_ms, idle_ms, self, use)
+        self.pool = Pool(loop, most, dial_ms, idle_ms, self, use, **how)
 
     def send(self, attempt: Attempt, timeout_s: float) -> None:
-        """Write an attempt to an idle link, or to a new one."""
-        if not self.pool.knows(attempt.server):
-            self._end(attempt, api.CONNECT_FAILED)
-            return
-        attempt.timeout_s = timeout_s
+        """Write an attempt to an idle link, or to the first that is up or free."""
+        attempt.hosts, attempt.timeout_s, attempt.waiting = self, timeout_s, True
         if attempt.upload is None:
             attempt.timer = self.loop.call_later(timeout_s, self._overdue, attempt)
-        link = self.pool.take(attempt.server)
-        if link is not None:
-            attempt.idle_s = self.loop.time() - link.idle_since
-            self._begin(attempt, link)
-            return
-        attempt.dial = self.pool.dial(attempt.server, partial(self._dialled, attempt))
-        if attempt.dial is None:  # an attempt beyond the bound was never sent, which says nothing of its host
-            attempt.cause = "no room"
-            self._end(attempt, api.MOOT)
+        self.pool.want(attempt.server, attempt)
+        if attempt.waiting:
+            wait_s = min(self.pool.wait_s(), timeout_s) + 2 * GRACE_S  # a dial of its own ends before that
+            attempt.wait_timer = self.loop.call_later(wait_s, self._waited_enough, attempt)
 
     def cancel(self, attempt: Attempt) -> None:
         """Give an attempt up by ending its link."""
@@ -87,18 +88,29 @@
             self._abandon(attempt)
             self._end(attempt, api.CANCELLED)
 
-    def _begin(self, attempt: Attempt, link: Link) -> None:
-        attempt.link = link
+    def linked(self, attempt: Attempt, link: Link) -> None:
+        """Its link is there: write it."""
+        self._stop_waiting(attempt)
+        attempt.link, attempt.touched = link, True
+        attempt.idle_s = self.loop.time() - link.idle_since if link.idle_since else None
         link.begin(attempt)
 
-    def _dialled(self, attempt: Attempt, link: Link | None, cause: str) -> None:
-        attempt.dial, attempt.cause = None, cause
-        if link is None:
-            self._end(attempt, api.CONNECT_FAILED)
-        elif attempt.done or link.transport.is_closing():
-            link.drop(ABANDONED)
-        else:
-            self._begin(attempt, link)
+    def unlinked(self, attempt: Attempt, result: str, cause: str) -> None:
+        """It has no link and gets none."""
+        self._stop_waiting(attempt)
+        attempt.cause = cause
+        self._end(attempt, result)
+
+    def _waited_enough(self, attempt: Attempt) -> None:
+        # Never sent for want of a free link, which says nothing of its host: another may have one.
+        self.pool.forget(attempt.server, attempt)
+        self.unlinked(attempt, api.MOOT, "no free link")
+
+    @staticmethod
+    def _stop_waiting(attempt: Attempt) -> None:
+        attempt.waiting = False
+        if attempt.wait_timer is not None:
+            attempt.wait_timer.cancel()
 
     def _overdue(self, attempt: Attempt) -> None:
         # Guards against our own stall: the answer may be here and unread. Timers run before sockets are read,
@@ -106,15 +118,19 @@
         attempt.timer = self.loop.call_later(GRACE_S, self._time_out, attempt)
 
     def _time_out(self, attempt: Attempt) -> None:
-        sent = attempt.link is not None and not attempt.link.unsent
+        result = api.CONNECT_FAILED
+        if attempt.waiting and not self.pool.reaching(attempt.server):
+            result = api.MOOT
+        elif attempt.link is not None and not attempt.link.unsent:
+            result = api.TIMED_OUT
         self._abandon(attempt)
-        self._end(attempt, api.TIMED_OUT if sent else api.CONNECT_FAILED)
+        self._end(attempt, result)
 
-    @staticmethod
-    def _abandon(attempt: Attempt) -> None:
-        """End the link of an attempt: it is never used again."""
-        if attempt.dial is not None:
-            attempt.dial.cancel()
+    def _abandon(self, attempt: Attempt) -> None:
+        """End the link of an attempt: it is never used again. A dial goes on, and its link is kept."""
+        if attempt.waiting:
+            self.pool.forget(attempt.server, attempt)
+            self._stop_waiting(attempt)
         if attempt.link is not None:
             attempt.link.job = None
             attempt.link.drop(ABANDONED)
@@ -126,7 +142,7 @@
         attempt.link = None
         if attempt.timer is not None:
             attempt.timer.cancel()
-        if attempt.upload is not None:
+        if attempt.upload is not None and attempt.touched:  # else it is whole, and another host may have it
             attempt.upload.detach()
         self._owner.ended(attempt, result, reply)
 
--- a/yewstage/net/http1.py
+++ b/yewstage/net/http1.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -17,6 +18,8 @@
 DIAL_GRACE_S = 0.002  # a turn of the loop or two, in which a connection that is up counts before a time-out
 # Why a dial came to nothing, where it is not the system that tells.
 TOO_LATE, GIVEN_UP, BROKEN = "dial timed out", "dial given up", "broken when dialled"
+NO_DESCRIPTOR = "no descriptor left"
+SHORT = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))  # we are, not the other side
 
 
 @dataclass(slots=True)
@@ -100,7 +103,8 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, make: Callable[[], ReplyProtocol],
                  address: tuple[str, int], within_s: float, use: Use,
                  ended: Callable[[ReplyProtocol | None, str], None]) -> None:
-        self._loop, self._make, self._use, self._ended = loop, make, use, ended
+        self._loop, self._make, self._use = loop, make, use
+        self._ended: Callable[[ReplyProtocol | None, str], None] | None = ended
         self._made: ReplyProtocol | None = None
         self._late = False
         use.opened()
@@ -126,14 +130,15 @@
         self._timer.cancel()
         if self._made is None or self._made.transport is None:
             self._use.closed()  # else its connection gives the descriptor back
+        ended, self._ended = self._ended, None  # who is told may hold us
         if task.cancelled():
-            self._ended(None, TOO_LATE if self._late else GIVEN_UP)
-        elif task.exception() is not None:
-            self._ended(None, str(task.exception()))
+            ended(None, TOO_LATE if self._late else GIVEN_UP)
+        elif (error := task.exception()) is not None:
+            ended(None, NO_DESCRIPTOR if getattr(error, "errno", 0) in SHORT else str(error))
         elif task.result()[0].is_closing():
-            self._ended(None, BROKEN)
+            ended(None, BROKEN)
         else:
-            self._ended(task.result()[1], "")
+            ended(task.result()[1], "")
 
 
 class ReplyProtocol(asyncio.Protocol):
--- a/yewstage/net/pool.py
+++ b/yewstage/net/pool.py
@@ -3,26 +3,41 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import socket
 import time
-from collections.abc import Callable
-from functools import partial
+from collections.abc import Callable, Collection, Mapping
+from types import MappingProxyType
 from typing import Protocol
 
-from yewstage.net.http1 import GIVEN_UP, LONGEST_BODY, TOO_LATE, Dial, Reply, ReplyProtocol, Upload, narrow
+from yewstage import interface as api
+from yewstage.net.http1 import (
+    GIVEN_UP,
+    LONGEST_BODY,
+    NO_DESCRIPTOR,
+    TOO_LATE,
+    Dial,
+    Reply,
+    ReplyProtocol,
+    Upload,
+    narrow,
+)
 from yewstage.net.stats import Use
 
-IDLE_SHARE = 0.5  # idle links are retired after this part of the server's idle limit
+IDLE_SHARES = 0.5, 0.8  # idle links are retired between these parts of the server's idle limit
 SWEEP_S = 1.0
 DIALS = 64  # dials under way at once
 HOLD_S = 0.1  # how long an answer of unknown length is held: it may end yet, and be whole
 STALL_S = 5.0  # a long body of which nothing moves for so long is not going to
 # What dials come to, and why links are closed, as the figures name them.
-UP, REFUSED, TIMED_OUT, UNWANTED = "up", "failed", "timed_out", "given_up"
-RETIRED, NO_ROOM, UNLISTED, UNUSABLE = "idle_limit", "no_room", "server_gone", "not_reusable"
-ABANDONED, DIED_IDLE, BROKE, STALLED, STOPPED = "given_up", "died_idle", "broke", "stalled", "stopped"
-DIAL_RESULTS = (UP, REFUSED, TIMED_OUT, UNWANTED)
-CLOSE_REASONS = (RETIRED, NO_ROOM, UNLISTED, UNUSABLE, ABANDONED, DIED_IDLE, BROKE, STALLED, STOPPED)
+UP, FAILED, TIMED_OUT, NO_FILES, UNWANTED = "up", "failed", "timed_out", "no_descriptor", "given_up"
+RETIRED, NO_ROOM, UNLISTED, OUTLIVED = "idle_limit", "no_room", "server_gone", "server_restarted"
+DRAINED, UNUSABLE, ABANDONED, SILENT = "server_drains", "not_reusable", "given_up", "server_silent"
+DIED_IDLE, BROKE, STALLED, STOPPED = "died_idle", "broke", "stalled", "stopped"
+DIAL_RESULTS = (UP, FAILED, TIMED_OUT, NO_FILES, UNWANTED)
+CLOSE_REASONS = (RETIRED, NO_ROOM, UNLISTED, OUTLIVED, DRAINED, UNUSABLE, ABANDONED, SILENT, DIED_IDLE, BROKE,
+                 STALLED, STOPPED)
+NONE: Mapping[str, float] = MappingProxyType({})
 
 
 class Stream(Protocol):
@@ -63,51 +78,146 @@
         """Its link is gone, before its last byte was written or after."""
 
 
+class Waiter(Protocol):
+    """Who wants a link."""
+
+    kind: str  # waiters of different kinds take turns
+
+    def linked(self, link: Link) -> None:
+        """Here it is."""
+
+    def unlinked(self, result: str, cause: str) -> None:
+        """There is none to be had: the server could not be reached, or there was no room."""
+
+
+class Lines:
+    """Waiters for one server: in the order in which they came, the kinds by turns."""
+
+    def __init__(self) -> None:
+        self._lines: dict[str, dict[Waiter, None]] = {}  # the kind whose turn is next comes first
+        self.count = 0
+
+    def add(self, waiter: Waiter) -> None:
+        """At the end of its kind's line."""
+        self.count += 1
+        self._lines.setdefault(waiter.kind, {})[waiter] = None
+
+    def discard(self, waiter: Waiter) -> bool:
+        """Take one out wherever it stands; False if it does not wait here."""
+        line = self._lines.get(waiter.kind, {})
+        if waiter not in line:
+            return False
+        del line[waiter]
+        self.count -= 1
+        if not line:
+            del self._lines[waiter.kind]
+        return True
+
+    def next(self) -> Waiter | None:
+        """Take out the one whose turn it is."""
+        if not self._lines:
+            return None
+        kind, line = next(iter(self._lines.items()))
+        waiter = next(iter(line))
+        self.discard(waiter)
+        if kind in self._lines:  # the other kinds come first now
+            self._lines[kind] = self._lines.pop(kind)
+        return waiter
+
+    def oldest(self) -> Waiter | None:
+        """Take out the one whose kind has the longest line."""
+        if not self._lines:
+            return None
+        waiter = next(iter(max(self._lines.values(), key=len)))
+        self.discard(waiter)
+        return waiter
+
+
 class _Server:
-    __slots__ = ("name", "address", "idle")
+    """One life of one server at one address."""
+
+    __slots__ = ("name", "address", "born_ms", "idle", "links", "long", "dialling", "lines", "leaving")
 
-    def __init__(self, name: str, address: tuple[str, int]) -> None:
-        self.name, self.address = name, address
+    def __init__(self, name: str, address: tuple[str, int], born_ms: float) -> None:
+        self.name, self.address, self.born_ms = name, address, born_ms
         self.idle: list[Link] = []  # the freshest last
+        self.links: set[Link] = set()
+        self.long: set[Link] = set()  # those that carry a long body, at its client's pace
+        self.dialling = 0
+        self.lines = Lines()
+        self.leaving = False  # it drains: what it holds goes on, nothing is kept for later
 
 
 class Pool:
-    """All links of this gateway."""
-
-    def __init__(self, loop: asyncio.AbstractEventLoop, most: int, dial_ms: float, idle_ms: float,
-                 ends: Ends, use: Use | None = None) -> None:
-        self.loop, self.most, self.ends, self._use = loop, most, ends, use or Use()
-        self._dial_s, self._idle_s = dial_ms / 1000, IDLE_SHARE * idle_ms / 1000
+    """All links of this gateway.
+
+    Who wants a link gets the freshest idle one. If there is none a dial begins, as long as the server's bound
+    and our descriptors allow; whoever is first in line gets the link that comes up or is given back first. A
+    dial belongs to nobody: a link that comes up when nobody waits any more is kept.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, most: int, dial_ms: float, idle_ms: float, ends: Ends,
+                 use: Use | None = None, bound: Callable[[str], int] | None = None,
+                 clock_ms: Callable[[], float] = lambda: time.time() * 1000,
+                 rng: random.Random | None = None) -> None:
+        self.loop, self.ends, self.clock_ms = loop, ends, clock_ms
+        self._use, self._rng = use or Use(), rng or random.Random()
+        self._bound = bound or (lambda name: most)  # links to one server, dials included
+        self._most = most
         self._servers: dict[str, _Server] = {}
         self._links: set[Link] = set()
-        self._dialling = 0
+        self._thirsty: dict[_Server, None] = {}  # servers for which more wait than are dialled, in turn
+        self._dials: set[Dial] = set()
         self._stopped = False
-        self.reuses = 0
+        self.reuses = self.waits = 0
         self.dialled = dict.fromkeys(DIAL_RESULTS, 0)
         self.closed_by = dict.fromkeys(CLOSE_REASONS, 0)
+        self.tune(dial_ms, idle_ms)
 
     def start(self) -> None:
         """Begin to retire idle links."""
         self.loop.call_later(SWEEP_S, self._sweep)
 
     def stop(self) -> None:
-        """Close all links."""
+        """Close all links, end all dials."""
         self._stopped = True
+        for dial in list(self._dials):
+            dial.cancel()
         for link in list(self._links):
             link.drop(STOPPED)
 
-    def update(self, addresses: dict[str, tuple[str, int]], gone: set[str]) -> None:
-        """Where to dial each server, and which to dial no more. What is out goes on."""
+    def tune(self, dial_ms: float, idle_ms: float) -> None:
+        """Go by other limits from now on."""
+        self._dial_s, self._idle_s = dial_ms / 1000, idle_ms / 1000
+
+    def limit(self, most: int) -> None:
+        """Hold so many links at the most, of all servers together; idle ones beyond that go at once."""
+        self._most = most
+        while len(self._links) + len(self._dials) > most and self._give_way():
+            pass
+        self._go_on()
+
+    def wait_s(self) -> float:
+        """How long a link is worth waiting for: as long as a dial may take."""
+        return self._dial_s
+
+    def update(self, addresses: dict[str, tuple[str, int]], gone: set[str],
+               born_ms: Mapping[str, float] = NONE, leaving: Collection[str] = ()) -> None:
+        """Where to dial each server, since when it runs, which drain, and which to dial no more."""
         for name in gone:
             server = self._servers.pop(name, None)
             if server is not None:
-                self._close_idle(server)
+                self._leave(server)
+                self._turn_away(server, "server gone")
         for name, address in addresses.items():
-            server = self._servers.get(name)
-            if server is None or server.address != address:
-                if server is not None:
-                    self._close_idle(server)
-                self._servers[name] = _Server(name, address)
+            old, born = self._servers.get(name), born_ms.get(name, 0.0)
+            if old is None or old.address != address or born > old.born_ms:
+                self._servers[name] = _Server(name, address, born)
+                if old is not None:
+                    self._move(old, self._servers[name])
+            self._servers[name].leaving = name in leaving
+            if name in leaving:
+                self._close_idle(self._servers[name], DRAINED)
 
     def names(self) -> set[str]:
         """The servers that can be dialled."""
@@ -116,8 +226,9 @@
     def figures(self) -> dict[str, float]:
         """What operators read of links and dials."""
         idle = sum(len(server.idle) for server in self._servers.values())
-        return {"links_open": len(self._links), "links_idle": idle, "links_dialling": self._dialling,
-                "link_reuses_total": self.reuses,
+        return {"links_open": len(self._links), "links_idle": idle, "links_dialling": len(self._dials),
+                "links_awaited": sum(server.lines.count for server in self._servers.values()),
+                "link_reuses_total": self.reuses, "link_waits_total": self.waits,
                 **{f'dials_total{{result="{result}"}}': n for result, n in self.dialled.items()},
                 **{f'links_closed_total{{reason="{reason}"}}': n for reason, n in self.closed_by.items()}}
 
@@ -125,88 +236,196 @@
         """Dials that have ended."""
         return sum(self.dialled.values())
 
-    def knows(self, name: str) -> bool:
-        """Whether a server can be dialled."""
-        return name in self._servers
-
-    def take(self, name: str) -> Link | None:
-        """The freshest idle link to a server, if there is one."""
-        server = self._servers[name]
+    def want(self, name: str, waiter: Waiter) -> None:
+        """Get a link to a server: at once, or when one is up or free."""
+        server = self._servers.get(name)
+        if server is None:
+            waiter.unlinked(api.CONNECT_FAILED, "not listed")
+            return
+        link = self._freshest(server)
+        if link is not None:
+            self.reuses += 1
+            waiter.linked(link)
+            return
+        server.lines.add(waiter)
+        if not self._grow(server):
+            self.waits += 1
+            self._thirsty[server] = None
+
+    def forget(self, name: str, waiter: Waiter) -> bool:
+        """Wait no longer. What is being dialled goes on: its link is kept. False if it was not waiting."""
+        server = self._servers.get(name)
+        return server is not None and server.lines.discard(waiter)
+
+    def reaching(self, name: str) -> bool:
+        """Whether a dial to a server is under way."""
+        server = self._servers.get(name)
+        return server is not None and server.dialling > 0
+
+    def _freshest(self, server: _Server) -> Link | None:
+        now = self.loop.time()
         while server.idle:
             link = server.idle.pop()
-            if not link.transport.is_closing():
-                self.reuses += 1
+            if link.transport.is_closing():
+                continue
+            if now < link.retires_at:
                 return link
+            link.drop(RETIRED)  # danger: its server may be closing it at this moment
         return None
 
-    def dial(self, name: str, ended: Callable[[Link | None, str], None]) -> Dial | None:
-        """Open a link; None if there is no room for one."""
-        if self._dialling >= DIALS or not self._room():  # guards the descriptors
-            return None
-        server = self._servers[name]
-        self._dialling += 1
-        return Dial(self.loop, lambda: Link(self, server), server.address, self._dial_s, self._use,
-                    partial(self._dialled, ended))
-
-    def _dialled(self, ended: Callable[[Link | None, str], None], link: Link | None, cause: str) -> None:
-        self._dialling -= 1
-        result = UP if link is not None else {TOO_LATE: TIMED_OUT, GIVEN_UP: UNWANTED}.get(cause, REFUSED)
+    def _grow(self, server: _Server) -> bool:
+        """Dial for whoever waits, if anybody does for whom no dial is under way, and there is room."""
+        if server.lines.count <= server.dialling or self._stopped:
+            return False
+        if len(server.links) - len(server.long) + server.dialling >= max(1, self._bound(server.name)):
+            return False
+        if len(self._dials) >= DIALS or not self._room():  # guards the descriptors
+            return False
+        server.dialling += 1
+        dial = Dial(self.loop, lambda: Link(self, server), server.address, self._dial_s, self._use,
+                    lambda link, cause: self._dialled(server, dial, link, cause))
+        self._dials.add(dial)
+        return True
+
+    def _dialled(self, server: _Server, dial: Dial, link: Link | None, cause: str) -> None:
+        server.dialling -= 1
+        self._dials.discard(dial)
+        result = UP if link is not None else {TOO_LATE: TIMED_OUT, GIVEN_UP: UNWANTED,
+                                              NO_DESCRIPTOR: NO_FILES}.get(cause, FAILED)
         self.dialled[result] += 1
-        if link is not None and self._stopped:
+        if link is not None:
+            self._offer(link)
+            return
+        if result == TIMED_OUT:
+            # Danger: a machine that is cut off leaves its links open and silent: a request would find out.
+            self._close_idle(server, SILENT)
+        if self._servers.get(server.name) is server and server.lines.count > server.dialling:
+            waiter = server.lines.oldest()
+            waiter.unlinked(api.MOOT if result == NO_FILES else api.CONNECT_FAILED, cause)
+        self._go_on()
+
+    def _offer(self, link: Link) -> None:
+        """A link is free: for who is first in line, else for later."""
+        server = link.server
+        if self._stopped:
             link.drop(STOPPED)
-        ended(link, cause)
+        elif self._servers.get(server.name) is not server:
+            link.drop(UNLISTED)
+        elif len(self._links) + len(self._dials) > self._most:
+            link.drop(NO_ROOM)
+        else:
+            waiter = server.lines.next()
+            if waiter is not None:
+                waiter.linked(link)
+            elif server.leaving:
+                link.drop(DRAINED)
+            else:
+                link.idle_since = self.loop.time()
+                link.retires_at = link.idle_since + self._idle_s * link.share
+                server.idle.append(link)
+        if server.lines.count > server.dialling:
+            self._thirsty[server] = None  # the link that was on its way could not be had
+        if self._thirsty:
+            self._go_on()
+
+    def _go_on(self) -> None:
+        """Dial for those who wait, as far as there is room now; the servers by turns."""
+        for server in list(self._thirsty):
+            grown = self._grow(server)
+            if grown or server.lines.count <= server.dialling:
+                del self._thirsty[server]
+            if server.lines.count > server.dialling:
+                self._thirsty[server] = None  # at the end: the others come first
 
     def _room(self) -> bool:
-        if len(self._links) + self._dialling < self.most:
-            return True
+        return len(self._links) + len(self._dials) < self._most or self._give_way()
+
+    def _give_way(self) -> bool:
+        """Close the link that has stood idle longest."""
         idle = [server for server in self._servers.values() if server.idle]
-        if idle:  # the link that has stood idle longest gives way
+        if idle:
             min(idle, key=lambda server: server.idle[0].idle_since).idle.pop(0).drop(NO_ROOM)
         return bool(idle)
 
+    def _leave(self, server: _Server) -> None:
+        """A server's entry is replaced or gone: nothing new goes over its links."""
+        self._close_idle(server, UNLISTED)
+        self._thirsty.pop(server, None)
+
+    def _move(self, old: _Server, new: _Server) -> None:
+        """The same instance elsewhere, or in its next life: what waits goes on there.
+
+        A process that has started since a link was opened does not know of it: what is out on such a link is
+        lost, and is better told now than by its time-out.
+        """
+        self._leave(old)
+        for link in [link for link in old.links if link.opened_ms < new.born_ms]:
+            link.drop(OUTLIVED)
+        while (waiter := old.lines.next()) is not None:
+            self.want(new.name, waiter)
+
+    def _turn_away(self, server: _Server, cause: str) -> None:
+        while (waiter := server.lines.next()) is not None:
+            waiter.unlinked(api.CONNECT_FAILED, cause)
+
     # From links
 
     def opened(self, link: Link) -> None:
         """A link is up."""
+        link.opened_ms = self.clock_ms()
+        # Danger: links that went idle together, over a whole fleet, would be dialled anew together.
+        link.share = self._rng.uniform(*IDLE_SHARES)
         self._links.add(link)
+        link.server.links.add(link)
+
+    def lengthy(self, link: Link) -> None:
+        """A link carries a long body: that is no work of its server's, so another link may take its place."""
+        link.server.long.add(link)
+        self._go_on()
+
+    def dropped(self, link: Link) -> None:
+        """A link has no place here any more; its loss is told in a moment."""
+        self._links.discard(link)
+        link.server.links.discard(link)
+        link.server.long.discard(link)
 
     def closed(self, link: Link) -> None:
         """A link is gone."""
-        self._links.discard(link)
+        self.dropped(link)
         if link in link.server.idle:
             link.server.idle.remove(link)
         job, link.job = link.job, None
         self.closed_by[link.why or (DIED_IDLE if job is None else BROKE)] += 1
         if job is not None:
             self.ends.broke(job, link.unsent, link.ended_by)
+        if self._thirsty:
+            self._go_on()
 
     def free(self, link: Link, reusable: bool) -> None:
-        """A link has done its job: it waits for the next one, if it is clean."""
-        server = link.server
-        if not reusable or link.unsent:
-            link.drop(UNUSABLE)
-        elif self._servers.get(server.name) is not server:
-            link.drop(UNLISTED)
+        """A link has done its job: it is the next one's, if it is clean."""
+        link.server.long.discard(link)
+        if reusable and not link.unsent:
+            self._offer(link)
         else:
-            link.idle_since = self.loop.time()
-            server.idle.append(link)
+            link.drop(UNUSABLE)
 
-    def _close_idle(self, server: _Server) -> None:
+    def _close_idle(self, server: _Server, why: str) -> None:
         idle, server.idle = server.idle, []
         for link in idle:
-            link.drop(UNLISTED)
+            link.drop(why)
 
     def _sweep(self) -> None:
         # Guards against writing to a link that the server is about to close: that ends as a reset, after
         # which the request may have run.
         if self._stopped:
             return
-        before = self.loop.time() - self._idle_s
+        now = self.loop.time()
         for server in self._servers.values():
-            while server.idle and server.idle[0].idle_since < before:
-                server.idle.pop(0).drop(RETIRED)
+            for link in [link for link in server.idle if link.retires_at <= now]:
+                server.idle.remove(link)
+                link.drop(RETIRED)
         for link in list(self._links):
-            link.check(self.loop.time())
+            link.check(now)
         self.loop.call_later(SWEEP_S, self._sweep)
 
 
@@ -217,7 +436,9 @@
         super().__init__()
         self._pool, self.server = pool, server
         self.job: Job | None = None
-        self.idle_since = 0.0
+        self.idle_since = self.retires_at = 0.0
+        self.share = 0.0  # of the server's idle limit, after which we retire it
+        self.opened_ms = 0.0  # by the clock that all machines share
         self._answer: tuple[Job, Reply, bool] | None = None
         self._stream: Stream | None = None  # who reads the answer that is coming
         self._held = False  # by a client that reads slowly
@@ -229,6 +450,7 @@
     def drop(self, why: str = "") -> None:
         """End the link at once."""
         self.why = self.why or why
+        self._pool.dropped(self)
         super().drop()
 
     def begin(self, job: Job) -> None:
@@ -237,6 +459,7 @@
         self._moved_at = self._pool.loop.time()
         if job.upload is not None:
             self.unsent = True
+            self._pool.lengthy(self)
             job.upload.attach(self, job.payload)
             return
         self.write(job.payload)
@@ -262,6 +485,9 @@
         self._pool.opened(self)
 
     def data_received(self, data: bytes) -> None:
+        if self.job is None:
+            self.drop(UNUSABLE)  # nobody asked: it would be taken for the next request's answer
+            return
         self._read += 1
         super().data_received(data)
         if self._in_body and self._hold_timer is None and self._stream is None and self._length() is None:
@@ -285,7 +511,7 @@
         self._stream = None
         self._stop_holding()
         if job is None:
-            self.drop(UNUSABLE)  # an answer that nobody asked for
+            self.drop(UNUSABLE)  # a second answer to one request
         else:
             self._answer = (job, reply, reusable)
 
@@ -327,6 +553,7 @@
             return
         body, self._body = b"".join(self._body), []
         narrow(self.transport, socket.SO_RCVBUF)
+        self._pool.lengthy(self)
         reply = Reply(status, self._headers, b"")
         self._stream = self._pool.ends.streams(self, self.job, reply, self._length())
         if self._stream is None:
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -89,13 +89,14 @@
 
 
 class _Attempt:
-    __slots__ = ("host", "sent", "open", "ran", "works")
+    __slots__ = ("host", "sent", "open", "ran", "works", "touched")
 
     def __init__(self, host: _Host) -> None:
         self.host = host
         self.sent = math.inf  # not yet, or its body is still on its way
         self.open = self.ran = True  # may be running until an outcome proves that it never did
         self.works = False  # its server is at it, as far as we know
+        self.touched = True  # something of it may have left
 
     def start(self, now: float) -> None:
         self.sent, self.works = now, True
@@ -165,6 +166,7 @@
         self.s = settings
         self.rng = random.Random(seed)
         self.classes = {c.name: c for c in settings.classes}
+        self.aim = min(c.aim_ms for c in settings.classes)  # the shortest
         self.plans = {p.name: p for p in settings.plans}
         self.out: list[api.Action] = []
         self.hosts: dict[str, _Host] = {}
@@ -185,6 +187,7 @@
         self.holders = settings.fleet_size  # gateways that send to one server
         self.mid, self.many_fail = 1.0, False  # the hosts' median slowness; whether over half of them fail
         self.done = self.done_rate = 0.0  # good completions since the last sweep, and per ms
+        self.size = 1.0  # of the servers that we hold, together
         self.warm_work = self.warm_rate = 0.0  # work sent to warm hosts, and per ms and host
         self.bank = RETRY_BANK
         self.heard, self.call_at = 1.0, 0.0  # part of our counter calls answered; the last one's time
@@ -276,6 +279,22 @@
         """Whether we are one of the gateways that hold this server."""
         return host.rank < self.holders
 
+    def links(self, name: str) -> int:
+        """The most links that we may have to a server: what it bears of us within the shortest aim.
+
+        As many as it answers in that time at the rate at which we send to it, with what chance adds. Who
+        sends much has a larger part; the parts of all add up to what the server does within the aim.
+        Danger: links beyond that carry requests that are late already, and take the others' places.
+        """
+        host = self.hosts.get(name)
+        if host is None:
+            return 1
+        if self.q_seen < FEW:  # nothing seen yet: an even part of what its size does, at the usual latency
+            mean = host.nominal * self.aim / max(self.latency.values()) / self.holders
+        else:
+            mean = self.done_rate * self.aim * host.nominal / self.size
+        return max(1, math.ceil(mean + mean ** 0.5))
+
     def rotation(self) -> tuple[int, int]:
         """How many servers are listed, and how many of these get no ordinary work now."""
         return len(self.hosts), sum(1 for h in self.hosts.values() if not h.up or h.fails)
@@ -289,6 +308,7 @@
         waiting = {cls.name for use in self.uses.values() for _, cls, _, _ in use.asking}
         known = {*classes, *waiting, *(held.cls.name for held in self.held.values())}
         self.s, self.classes = settings, classes
+        self.aim = min(c.aim_ms for c in settings.classes)
         # One that is the same is the same object, by which a customer's use is known.
         self.plans = {p.name: self.plans[p.name] if self.plans.get(p.name) == p else p
                       for p in settings.plans}
@@ -753,7 +773,7 @@
             units = max(event.true_units or held.req.units, 1e-6)
             self.latency[held.cls.name] += GAIN / 4 * (event.took_ms / units - self.latency[held.cls.name])
             self.done += 1
-        elif event.result == api.CONNECT_FAILED and held.loading:
+        elif event.result == api.CONNECT_FAILED and held.loading and not event.unbegun:
             self._strike(host)  # a long body has many chances to break
         elif event.result == api.CONNECT_FAILED:
             # Danger: a dial may also break on its way; it is death when the trial after a rest fails too.
@@ -788,7 +808,7 @@
             return False
         if not self.s.second_copies and any(a.open for a in held.attempts):
             return False
-        if held.attempts and not held.req.kept:
+        if not held.req.kept and any(a.touched for a in held.attempts):
             return False  # its body is gone
         risky = [a for a in held.attempts if a.ran]
         if not risky or held.cls.effect == "safe":
@@ -836,6 +856,8 @@
         if self.s.cancel and not held.stream and not held.answered:
             self.out.extend(api.Cancel(held.req.id, i) for i in still)
         held.answered = True
+        if not still:
+            self._loaded(held)
         if not still and self.held.pop(held.req.id, None) is not None:
             held.use.open -= 1
 
@@ -879,9 +901,11 @@
         attempt.open = False
         attempt.stop()
         attempt.ran = event.result not in api.NEVER_RAN
+        attempt.touched = not event.unbegun
         if event.result != api.MOOT and not (held.stream and event.result == api.OK):
             self._learn(held, attempt, event)
-        self._loaded(held)
+        if attempt.touched:
+            self._loaded(held)
         if event.result == api.OK and event.true_units > 0 and held.use.plan.rate > 0:
             self._spend(held.use, event.true_units - held.req.units)
             self._sync(held.use, held.req.customer)
@@ -904,7 +928,7 @@
         One that met nobody cost no server anything. Danger: with most of its list gone a gateway would spend
         all that it may on refused dials, and give up what the next server takes.
         """
-        price = result != api.CONNECT_FAILED
+        price = result not in (api.CONNECT_FAILED, api.MOOT)
         if self.bank < price or held.aim_at - self.now <= max(self._usual(held), 2 * self.s.tick_ms):
             return False
         host = self._pick(held)
@@ -923,11 +947,12 @@
         keep = memory / (memory + span)
         self.done_rate = keep * self.done_rate + (1 - keep) * self.done / span
         self._share_out()
+        held = [h for h in self.hosts.values() if h.up and not h.fails and self._ours(h)]
+        self.size = max(sum(h.nominal for h in held), 1e-6)
         slow = sorted(h.slow for h in self.hosts.values() if h.up)
         self.mid = max(slow[len(slow) // 2], 1.0) if slow else 1.0
         self.many_fail = 2 * sum(1 for h in self.hosts.values() if h.up and h.fails) > len(slow)
-        warm = sum(1 for h in self.hosts.values()
-                   if h.up and not h.fails and self._ours(h) and self._warmth(h) >= 1)
+        warm = sum(1 for h in held if self._warmth(h) >= 1)
         if warm:
             self.warm_rate = keep * self.warm_rate + (1 - keep) * self.warm_work / span / warm
         self.done = self.warm_work = 0.0
