Ask what holds for a whole request once, not for each server that it may go to

Of the five dearest places _pick and _may_send are the first two: 12 calls a request, one for each server, though only zone and cell of a repeat differ from server to server. What holds for the request is asked once now; a server without a start to remember is warm without a call. The choices are the same, draw for draw.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -718,11 +718,13 @@
     first = held.attempts[0].host
     same = [h for h in d.gateway.hosts.values() if h.zone == first.zone and h is not first][0]
     other = [h for h in d.gateway.hosts.values() if h.zone != first.zone][0]
-    assert not d.gateway._may_send(held, same)  # the first one is still out
+    assert not d.gateway._may_go_on(held) and d.gateway._pick(held) is None  # the first one is still out
     held.attempts[0].open = False
-    assert d.gateway._may_send(held, same) and not d.gateway._may_send(held, other)
+    assert d.gateway._repeats(held, held.attempts, same)
+    assert not d.gateway._repeats(held, held.attempts, other)
+    assert all(d.gateway._pick(held).zone == first.zone for _ in range(20))
     d.gateway.now += 3000
-    assert not d.gateway._may_send(held, same)
+    assert d.gateway._pick(held) is None
 
 
 def test_host_back_from_connect_failures_counts_as_cold() -> None:
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -724,12 +724,16 @@
 
     def _pick(self, held: _Held) -> _Host | None:
         """A cold host while our part lasts, else the least loaded; a failing one gets lone trials."""
+        if not self._may_go_on(held):
+            return None
         best, best_score, resting = None, 0.0, []
         tried = [a.host for a in held.attempts]
+        risky = [a for a in held.attempts if a.ran] if held.cls.effect != "safe" else []
         for host in self.hosts.values():
-            if not self._may_send(held, host):
+            if not host.up or (risky and not self._repeats(held, risky, host)):
                 continue
-            warmth, ours = self._warmth(host), self._ours(host)
+            warmth = self._warmth(host) if host.cold_from_ms else 1.0
+            ours = host.rank < self.holders
             if not ours and (warmth < 1 or host.fails):
                 continue  # danger: the trials and the cold budget are for those who hold it
             if warmth < 1 and (held.loading or not self._cold_room(host, warmth, held.work)):
@@ -802,17 +806,16 @@
 
     # --- Attempts and final answers -----------------------------------------------------------------------
 
-    def _may_send(self, held: _Held, host: _Host) -> bool:
-        """The rules on drains and repeats, for every send."""
-        if not host.up or len(held.attempts) >= held.most or held.answered or held.stream:
+    def _may_go_on(self, held: _Held) -> bool:
+        """Whether a request may be sent to any server."""
+        if len(held.attempts) >= held.most or held.answered or held.stream:
             return False
         if not self.s.second_copies and any(a.open for a in held.attempts):
             return False
-        if not held.req.kept and any(a.touched for a in held.attempts):
-            return False  # its body is gone
-        risky = [a for a in held.attempts if a.ran]
-        if not risky or held.cls.effect == "safe":
-            return True
+        return held.req.kept or not any(a.touched for a in held.attempts)  # else its body is gone
+
+    def _repeats(self, held: _Held, risky: list[_Attempt], host: _Host) -> bool:
+        """The rules on repeats, for one server: whether what may have run elsewhere may be sent to it."""
         if held.cls.effect == "unsafe":
             return False
         if self.now - risky[0].sent > held.cls.window_ms - 2 * self.s.tick_ms:
