Where dials have a price, prefer a server with an idle link among its equals

Ruled out: links that are closed too early (0 closed as idle by servers, and idle ones live 7.5 s and more).

The module counts the links that came back free, until the sooner end of the idle limit, and weighs a server without one by as much as chance weighs: it decides among equals and never against a request on its way.

--- a/benchmarks/scenes.py
+++ b/benchmarks/scenes.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 from collections.abc import Callable
 from types import SimpleNamespace
 
@@ -191,13 +192,13 @@
 class Module:
     """The decisions alone, on a clock of the scene's own."""
 
-    def __init__(self, tree: SimpleNamespace) -> None:
+    def __init__(self, tree: SimpleNamespace, servers: int = 12, gateways: int = 3) -> None:
         self._api = api = tree.api
-        settings = tree.config.parse(CONFIG).settings
+        settings = dataclasses.replace(tree.config.parse(CONFIG).settings, fleet_size=gateways)
         self._gateway = tree.policy.Gateway(settings, 1)
         self._now, self._serial, self._sweep_at = 1e6, 0, 0.0
         self._gateway.handle(self._now, api.ServerList("full", tuple(
-            api.Server(f"s-{i}", "ab"[i % 2], i % 3) for i in range(12))))
+            api.Server(f"s-{i}", "ab"[i % 2], i % 3) for i in range(servers))))
 
     def run(self, requests: int) -> None:
         """So many requests, 16 out at once, with sweeps and counts as they come."""
@@ -233,4 +234,5 @@
     "long": lambda tree: Sockets(tree, request(), [LONG_HEAD + PIECE, *[PIECE] * (LONG_PIECES - 1)]),
     "refused": lambda tree: Sockets(tree, request(plan="small"), [SMALL], refused=True),
     "module": Module,
+    "fleet": lambda tree: Module(tree, servers=200, gateways=200),
 }
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -477,6 +477,43 @@
     assert d.gateway.links("h0") > 2 * before
 
 
+def first_choices(d: Driver, n: int) -> list[str]:
+    """Where single requests go, one after another."""
+    return [end_of(d, *d.ask(after=50)) for _ in range(n)]
+
+
+def end_of(d: Driver, rid: str, out: list[api.Action]) -> str:
+    (send,) = of(out, api.Send)
+    d.end(rid, took=100)  # as usual: none is the faster
+    return send.server
+
+
+def test_where_dials_are_dear_a_server_with_an_idle_link_goes_before_its_equals() -> None:
+    cheap, dear = Driver(servers=8), Driver(servers=8, handshake=0.08)
+    assert len(set(first_choices(cheap, 60))) == 8
+    chosen = first_choices(dear, 40)
+    assert len(set(chosen)) <= 2  # all others are its equals
+    d = dear
+    rid, out = d.ask(after=50)  # while it is at one, another server is less loaded
+    (out_now,) = of(out, api.Send)
+    (other,) = of(d.ask()[1], api.Send)
+    assert out_now.server in chosen and other.server != out_now.server
+
+
+def test_an_idle_link_that_its_server_may_have_closed_counts_for_nothing() -> None:
+    again = {}
+    for idle_ms in (1900, 2000):  # a link that may be closed after 4 s is retired after 2 at the soonest
+        drivers = [Driver(servers=8, handshake=0.08, idle_ms=4000.0, seed=seed) for seed in range(10)]
+        firsts = [first_choices(d, 1) for d in drivers]
+        for d in drivers:
+            d.now += idle_ms - 50
+        again[idle_ms] = sum(first == first_choices(d, 1) for d, first in zip(drivers, firsts, strict=True))
+    assert again[1900] == 10 and again[2000] <= 5
+    d = drivers[0]
+    d.give(api.ServerList("changes", tuple(api.Server(name, up_since_ms=d.now) for name in d.gateway.hosts)))
+    assert all(host.linked == 0 for host in d.gateway.hosts.values())  # those were of their earlier lives
+
+
 # --- A fleet's sum ---
 
 
--- a/yewstage/interface.py
+++ b/yewstage/interface.py
@@ -74,6 +74,7 @@
     fall_multiple: float = 1.0
     tip_after_ms: float = 0.0
     handshake: float = 0.0  # price of a new connection, in first tries
+    idle_ms: float = 15000.0  # servers close connections that stand idle for so long
 
     def check(self) -> None:
         """Refuse settings that make no sense, naming the field."""
@@ -94,7 +95,8 @@
             for name in ("rate", "burst", "ceiling_rate", "ceiling_burst", "ceiling_slack", "parallel"):
                 if getattr(p, name) < 0:
                     raise ValueError(f"plans[{p.name}].{name}: must not be negative")
-        for name in ("cold_ms", "fall_multiple", "tip_after_ms", "tick_ms", "try_limit", "handshake"):
+        for name in ("cold_ms", "fall_multiple", "tip_after_ms", "tick_ms", "try_limit", "handshake",
+                     "idle_ms"):
             if getattr(self, name) < 0:
                 raise ValueError(f"{name}: must not be negative")
 
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -24,6 +24,8 @@
 BACKOFF_MS, BACKOFF_MAX_MS = 500.0, 4000.0  # a failing host's rest before one trial, doubled to the second
 STRIKES = 3  # slow or failed answers in a row that count as a host's failure
 HOLDERS, HELD = 10, 12  # gateways that send to one server, where that leaves each so many well ones
+NOISE = 0.2  # chance in the choice of a server; a dial, where it has a price, weighs as much
+LINK_SHARE = 0.5  # of the servers' idle limit, in which an idle link is still there
 FAR = 4.0  # a server that others hold is sought at so many times the load
 BAD = 2.5  # a host this many times slower than the fleet is unwell: no q samples, no patience
 COLD_MARGIN = 0.5  # part of the cold budget that we use: capacity is only guessed and others may run ahead
@@ -65,11 +67,12 @@
 
     __slots__ = ("name", "zone", "cell", "nominal", "up", "born", "cold_from_ms", "open", "slow", "strikes",
                  "fails", "down_until", "died", "credit", "credit_at", "rank",
-                 "util", "told_at")
+                 "util", "told_at", "linked", "linked_until")
 
     def __init__(self, server: api.Server, rank: int) -> None:
         self.name, self.rank = server.name, rank
         self.util, self.told_at = 1.0, 0.0  # how busy it reported to be, and when
+        self.linked, self.linked_until = 0, 0.0  # idle links to it, by what came back, and until when
         self.open = 0
         self.slow = 1.0  # running latency over its class's usual one
         self.strikes = self.fails = 0
@@ -84,7 +87,7 @@
         self.up = server.status == "up"
         if server.up_since_ms > self.born:
             self.born = self.cold_from_ms = server.up_since_ms
-            self.strikes = self.fails = 0
+            self.strikes = self.fails = self.linked = 0
             self.down_until, self.died, self.slow = 0.0, False, 1.0
 
 
@@ -726,7 +729,7 @@
         """A cold host while our part lasts, else the least loaded; a failing one gets lone trials."""
         if not self._may_go_on(held):
             return None
-        best, best_score, resting = None, 0.0, []
+        best, best_score, resting, dear = None, 0.0, [], self.s.handshake > 0
         tried = [a.host for a in held.attempts]
         risky = [a for a in held.attempts if a.ran] if held.cls.effect != "safe" else []
         for host in self.hosts.values():
@@ -752,7 +755,11 @@
             # Danger: speed is noise of what others send; weighing it in full herds us onto one server.
             # No zone is preferred: where traffic leans to one for good, its servers alone would bear it.
             score = (host.open + 1) * host.slow ** 0.5 / host.nominal
-            score *= (1 + 0.2 * self.rng.random()) * (1 if ours else FAR)
+            score *= (1 + NOISE * self.rng.random()) * (1 if ours else FAR)
+            if dear and not (host.linked and self.now < host.linked_until):
+                # Danger: among equals every choice opens a link, and each is one more for its server. It
+                # never outweighs a request: those on their way count for more.
+                score *= 1 + NOISE
             if host in tried:
                 score *= 4
             if best is None or score < best_score:
@@ -836,6 +843,7 @@
                 and len(held.attempts) + 1 < held.most and early + self._usual(held) < timeout):
             timeout = early
         attempt = _Attempt(host)
+        host.linked = max(host.linked - 1, 0) if self.now < host.linked_until else 0
         held.attempts.append(attempt)
         if not held.loading:
             attempt.start(self.now)
@@ -905,6 +913,11 @@
         attempt.stop()
         attempt.ran = event.result not in api.NEVER_RAN
         attempt.touched = not event.unbegun
+        if event.result in (api.OK, api.ERROR, api.FULL):  # its link is free for the next one
+            attempt.host.linked += 1
+            attempt.host.linked_until = self.now + LINK_SHARE * self.s.idle_ms
+        elif event.result == api.CONNECT_FAILED:
+            attempt.host.linked = 0
         if event.result != api.MOOT and not (held.stream and event.result == api.OK):
             self._learn(held, attempt, event)
         if attempt.touched:
--- a/yewstage/wire.py
+++ b/yewstage/wire.py
@@ -129,7 +129,8 @@
         tick_ms=num("tick_ms", 1.0), answer_slack_ms=num("rules.answer_slack_ms"),
         drain_grace_ms=num("rules.stop_sending_within_ms"), cold_from=num("rules.cold_from", 1.0),
         cold_ms=num("rules.cold_ms"), fall_multiple=num("rules.fall_multiple", 1.0),
-        tip_after_ms=num("rules.tip_after_ms"), handshake=num("penalties.handshake"))
+        tip_after_ms=num("rules.tip_after_ms"), handshake=num("penalties.handshake"),
+        idle_ms=num("bounds.conn_idle_ms", 15000.0))
 
 
 def server(parts: list[str]) -> api.Server:
