--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import os
 import random
 import time
@@ -304,6 +305,31 @@
     on_loop(scenario)
 
 
+def test_a_reload_that_shrinks_the_limits_holds_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        host = Fake(lambda seen: reply(b"served"))
+        core, script = await core_with(monkeypatch, host)
+        client = Answers()
+        for n in range(30):
+            script.plan[api.Request] = [api.Send(f"r{n + 1}", "s-0", 5000)]
+            core.request(client, an_order())
+        script.links = lambda name: 40
+        for _ in range(30):
+            await client.got.get()
+        while core._pool.figures()["links_dialling"]:
+            await asyncio.sleep(0.001)
+        open_before = core._pool.figures()["links_idle"]
+        config = dataclasses.replace(parse({
+            "listen": f"{LOOP}:0", "discovery": f"{LOOP}:{host.port}", "seed": "1",
+            "settings": {"grades": GRADES, "packages": PACKAGES,
+                         "bounds": {"conn_idle_ms": 400, "dial_timeout_ms": 30}}}), sockets=10)
+        core.reconfigure(config)
+        assert open_before == 8 and core._pool.figures()["links_idle"] == 3
+        assert core._pool.wait_s() == 0.03
+        host.stop()
+    on_loop(scenario)
+
+
 def test_the_watch_goes_on_after_a_connection_that_breaks_as_it_is_dialled() -> None:
     async def scenario() -> None:
         agent = Directory([instance("s-0", 1)])
