--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -127,6 +127,10 @@
             self.written.append(data)
             self.server.received(self, data)
 
+    def writelines(self, parts: tuple[bytes, ...]) -> None:
+        for part in parts:
+            self.write(part)
+
     def say(self, data: bytes) -> None:
         """Bytes from the server."""
         if not self._closing:
