--- /dev/null
+++ b/yewstage/registry/__init__.py
@@ -0,0 +1,2 @@
+"""The list service: servers' records with revisions, watches, and leases for duties that one process
+holds."""
