--- /dev/null
+++ b/yewstage/registry/server.py
@@ -0,0 +1,414 @@
+"""The list service: calls to the store, each write durable before it is seen, watches that share one
+encoding."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import random
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from yewstage.net.config import ConfigError
+from yewstage.net.serve import Answer, Call, Caller, Listener, Manners
+from yewstage.net.stats import Process
+from yewstage.registry.config import NAME, Config, Fields
+from yewstage.registry.log import FullError, Log
+from yewstage.registry.store import GONE, READY, Entry, Record, RefusedError, Store
+
+log = logging.getLogger(__name__)
+
+LONGEST_WAIT_MS = 60_000
+CALL_S, READ_S, IDLE_S = 5.0, 10.0, 75.0
+EXPIRE_S = 0.1  # spacing of the look for servers whose time is up
+RETRY_S = 1.0, 5.0  # who is turned away comes back after a random time between these
+KEPT_ENCODINGS = 64  # of the list's changes, for watchers that are not all equally far
+TOLD_S = 10.0  # spacing of the log's word that too many servers are silent
+
+Handler = Callable[[Call, Caller, str], Answer | None]
+
+
+def said(status: int, body: dict[str, object], headers: bytes = b"") -> Answer:
+    """An answer of one line of JSON."""
+    line = json.dumps(body, separators=(",", ":")).encode() + b"\n"
+    return Answer(status, line, b"application/json", headers)
+
+
+def failed(status: int, why: str, field: str = "") -> Answer:
+    """What was wrong, and with which field."""
+    return said(status, {"error": why, **({"field": field} if field else {})})
+
+
+class Registry:
+    """Calls in, answers out."""
+
+    def __init__(self, config: Config, store: Store, files: Log, loop: asyncio.AbstractEventLoop,
+                 rng: random.Random) -> None:
+        self.config, self.store, self.files, self._loop, self._rng = config, store, files, loop, rng
+        manners = Manners(config.connections, CALL_S, READ_S, IDLE_S, failed)
+        self.listener = Listener(loop, self.handle, manners)
+        self._watches: dict[Caller, tuple[int, asyncio.TimerHandle]] = {}  # who waits behind which revision
+        self._encoded: dict[int | None, bytes] = {}  # since a revision, or the whole list; as of now
+        self._disk = ThreadPoolExecutor(1, "disk")  # a sync takes milliseconds: nobody else waits for it
+        self._writing = asyncio.Lock()
+        self._tasks: set[asyncio.Task] = set()
+        self._settled_at = loop.time() + (0.0 if store.records else config.settle_ms / 1000)
+        self._told_at = -TOLD_S
+        self._process = Process()
+        self.writes, self.refused, self.failed, self.renewals, self.expired = 0, 0, 0, 0, 0
+        self.turned_away = self.changes_told = 0
+
+    async def start(self) -> tuple[str, int]:
+        """Listen, and begin to look for servers whose time is up."""
+        self._spawn(self._expire())
+        return await self.listener.start(self.config.listen)
+
+    async def stop(self) -> None:
+        """End all connections, finish the write that is under way."""
+        self.listener.stop()
+        async with self._writing:
+            for task in self._tasks:
+                task.cancel()
+        self._disk.shutdown()
+
+    def ready(self) -> bool:
+        """Whether lists are told: a store that began empty has heard its servers, or waited long enough."""
+        return self._loop.time() >= self._settled_at
+
+    def now(self) -> float:
+        """The store's time: never set back."""
+        return self._loop.time() * 1000
+
+    def handle(self, call: Call, caller: Caller) -> Answer | None:
+        """One call; None if it is answered later."""
+        kind, _, name = call.path.removeprefix("/v1/").partition("/")
+        name, _, verb = name.partition("/")
+        routes: dict[tuple[str, bool, str], dict[str, Handler]] = {
+            ("endpoints", False, ""): {"GET": self._list},
+            ("endpoints", True, ""): {"PUT": self._register, "DELETE": self._deregister},
+            ("endpoints", True, "renew"): {"POST": self._renew},
+            ("endpoints", True, "drain"): {"POST": self._drain},
+            ("endpoints", True, "verdict"): {"POST": self._verdict},
+            ("leases", False, ""): {"GET": self._leases},
+            ("leases", True, ""): {"PUT": self._acquire, "DELETE": self._release},
+            ("leases", True, "renew"): {"POST": self._renew_lease}}
+        methods = routes.get((kind, bool(name), verb)) if call.path.startswith("/v1/") else None
+        if methods is None:
+            return failed(404, "no such path")
+        if call.method not in methods:
+            answer = failed(405, f"not {call.method}")
+            return Answer(405, answer.body, answer.kind, b"Allow: %b\r\n" % ", ".join(methods).encode())
+        try:
+            if name and not NAME.fullmatch(name):
+                raise ConfigError("id: must be 1 to 64 letters, digits, dots, colons, dashes and underlines")
+            return methods[call.method](call, caller, name)
+        except ConfigError as error:
+            field, _, why = str(error).partition(": ")
+            return failed(400, why, field)
+        except RefusedError as error:
+            self.refused += 1
+            return failed(error.status, error.why, error.field)
+
+    # --- Lists and watches --------------------------------------------------------------------------------
+
+    def _list(self, call: Call, caller: Caller, name: str) -> Answer | None:
+        after, wait_ms = _whole(call, "after", None), _whole(call, "wait_ms", 0)
+        if not self.ready():
+            return self._later("the list is not complete yet")
+        if after is None:
+            return self._listing(None)
+        changes = self.store.changes(after)
+        if changes or changes is None or not wait_ms:
+            return self._listing(after if changes is not None else None)
+        if len(self._watches) >= self.config.watches:
+            self.turned_away += 1
+            return self._later("too many watches")
+        timer = self._loop.call_later(min(wait_ms, LONGEST_WAIT_MS) / 1000, self._waited, caller)
+        self._watches[caller] = (after, timer)
+        caller.gone = lambda: self._unwatch(caller)
+        return None
+
+    def _later(self, why: str) -> Answer:
+        """Come back, and not all at one moment."""
+        wait = b"Retry-After: %.2f\r\n" % self._rng.uniform(*RETRY_S)
+        answer = failed(503, why)
+        return Answer(503, answer.body, answer.kind, wait)
+
+    def _listing(self, after: int | None) -> Answer:
+        """The whole list, or what has changed: encoded once, however many ask for it."""
+        body = self._encoded.get(after)
+        if body is None:
+            changes = None if after is None else self.store.changes(after)
+            told = self.store.records.items() if changes is None else changes
+            listing = {"generation": self.store.revision, "reset": changes is None,
+                       "instances": [_row(name, record) for name, record in told]}
+            body = json.dumps(listing, separators=(",", ":")).encode()
+            if len(self._encoded) >= KEPT_ENCODINGS:
+                self._encoded.pop(next(iter(self._encoded)))
+            self._encoded[after] = body
+        return Answer(200, body, b"application/json")
+
+    def _waited(self, caller: Caller) -> None:
+        """Nothing has changed in its time."""
+        after, _ = self._watches.pop(caller)
+        caller.answer(self._listing(after))
+
+    def _unwatch(self, caller: Caller) -> None:
+        _, timer = self._watches.pop(caller, (0, None))
+        if timer is not None:
+            timer.cancel()
+
+    def _changed(self) -> None:
+        """Tell all who wait. They are let go first: some ask again at once."""
+        self._encoded.clear()
+        watches, self._watches = self._watches, {}
+        for caller, (after, timer) in watches.items():
+            timer.cancel()
+            self.changes_told += 1
+            caller.answer(self._listing(after))
+
+    # --- Writes -------------------------------------------------------------------------------------------
+
+    def _write(self, caller: Caller, plan: Callable[[], Entry | None],
+               answer: Callable[[], dict[str, object]]) -> None:
+        """Answer a write once it is durable."""
+        self._spawn(self._written(caller, plan, answer))
+
+    async def _written(self, caller: Caller, plan: Callable[[], Entry | None],
+                       answer: Callable[[], dict[str, object]]) -> None:
+        try:
+            await self._bring_about(plan)
+            caller.answer(said(200, answer()))
+        except RefusedError as error:
+            self.refused += 1
+            caller.answer(failed(error.status, error.why, error.field))
+        except FullError as error:
+            log.error("a write could not be made durable: %s", error)
+            self.failed += 1
+            caller.answer(self._later(f"writes are refused: {error}"))
+        except Exception:
+            log.exception("a write failed")
+            caller.answer(failed(500, "the service failed"))
+
+    async def _bring_about(self, plan: Callable[[], Entry | None]) -> bool:
+        """One write at a time: planned, made durable, then seen."""
+        async with self._writing:
+            entry = plan()
+            if entry is None:
+                return False
+            await self._loop.run_in_executor(self._disk, self.files.append, entry)
+            before = self.store.revision
+            self.store.apply(entry, self.now())
+            self.writes += 1
+            if self.store.revision != before:
+                self._changed()
+            if self.files.entries >= self.config.snapshot_entries:
+                await self._compact()
+            return True
+
+    async def _compact(self) -> None:
+        try:
+            await self._loop.run_in_executor(self._disk, self.files.compact, self.store.snapshot())
+        except FullError as error:
+            log.error("no snapshot: %s; the log goes on", error)
+
+    async def _expire(self) -> None:
+        """Let servers go whose time is up, as long as it is not most of them."""
+        while True:
+            await asyncio.sleep(EXPIRE_S)
+            late = self.store.overdue(self.now())
+            if self.store.held_back and self._loop.time() - self._told_at >= TOLD_S:
+                self._told_at = self._loop.time()
+                log.warning("%d of %d servers are silent: likelier it is we who hear nothing; all are kept",
+                            self.store.held_back, len(self.store.records))
+            for name in late:
+                try:
+                    if await self._bring_about(lambda name=name: self.store.plan_expire(name, self.now())):
+                        self.expired += 1
+                        log.info("%s has not renewed in time", name)
+                except FullError as error:
+                    log.error("%s could not be let go: %s", name, error)
+                    break
+
+    def _spawn(self, work: object) -> None:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # --- Servers ------------------------------------------------------------------------------------------
+
+    def _register(self, call: Call, caller: Caller, name: str) -> None:
+        fields = _fields(call)
+        config = self.config
+        host, port = fields.address("hostPort")
+        record = Record(
+            id=name, address=f"{host}:{port}", zone=fields.optional("zone"),
+            kind=fields.optional("machineType"),
+            cell=fields.whole("cell", 0, 0), weight=fields.number("weight", 1.0, 1e-6, 1e6),
+            started_at_ms=fields.number("startedAtMs", 0.0, 0.0, 1e14),
+            ttl_ms=fields.number("ttlMs", None, config.least_ttl_ms, config.most_ttl_ms))
+        expect, fence = _expect(fields), _fence(fields)
+        fields.done()
+
+        def plan() -> Entry | None:
+            self._check(fence)
+            entry = self.store.plan_register(record, expect)
+            if entry is None:
+                self.store.renew(name, None, self.now())
+            return entry
+
+        self._write(caller, plan, lambda: self._told(name))
+
+    def _renew(self, call: Call, caller: Caller, name: str) -> Answer:
+        fields = _fields(call)
+        registered = fields.whole("registered", 0, 0) or None
+        fields.done()
+        record = self.store.renew(name, registered, self.now())
+        self.renewals += 1
+        return said(200, {"revision": record.revision, "registered": record.registered,
+                          "ttlMs": record.ttl_ms})
+
+    def _drain(self, call: Call, caller: Caller, name: str) -> None:
+        fields = _fields(call)
+        draining = fields.flag("draining") if fields.has("draining") else True
+        expect, fence = _expect(fields), _fence(fields)
+        fields.done()
+        self._write(caller, lambda: self._check(fence) or self.store.plan_drain(name, draining, expect),
+                    lambda: self._told(name))
+
+    def _verdict(self, call: Call, caller: Caller, name: str) -> None:
+        fields = _fields(call)
+        well, fence = fields.flag("well"), _fence(fields)
+        fields.done()
+        if fence is None:
+            raise ConfigError("lease: a verdict is written by the holder of a duty")
+        self._write(caller, lambda: self._check(fence) or self.store.plan_verdict(name, well),
+                    lambda: self._told(name))
+
+    def _deregister(self, call: Call, caller: Caller, name: str) -> None:
+        fields = _fields(call)
+        expect, fence = _expect(fields), _fence(fields)
+        fields.done()
+        self._write(caller, lambda: self._check(fence) or self.store.plan_deregister(name, expect),
+                    lambda: {"revision": self.store.revision})
+
+    def _check(self, fence: tuple[str, int] | None) -> None:
+        if fence is not None:
+            self.store.check_token(*fence)
+
+    def _told(self, name: str) -> dict[str, object]:
+        """What a server's record is now; it may have gone again since it was written."""
+        record = self.store.records.get(name)
+        if record is None:
+            return {"revision": self.store.revision}
+        return {"revision": record.revision, "registered": record.registered, "ttlMs": record.ttl_ms,
+                "lifecycle": record.lifecycle()}
+
+    # --- Leases -------------------------------------------------------------------------------------------
+
+    def _leases(self, call: Call, caller: Caller, name: str) -> Answer:
+        now = self.now()
+        return said(200, {"leases": [
+            {"name": lease.name, "holder": held.holder if held else "", "token": lease.token,
+             "endsInMs": round(self.store.lease_ends_ms(lease.name, now)) if held else 0}
+            for lease in self.store.leases.values() for held in [self.store.holder(lease.name, now)]]})
+
+    def _acquire(self, call: Call, caller: Caller, name: str) -> None:
+        fields = _fields(call)
+        holder = fields.name("holder")
+        ttl_ms = fields.number("ttlMs", None, self.config.least_ttl_ms, self.config.most_ttl_ms)
+        fields.done()
+
+        def plan() -> Entry | None:
+            now = self.now()
+            entry = self.store.plan_acquire(name, holder, ttl_ms, now)
+            if entry is None:
+                self.store.renew_lease(name, holder, self.store.leases[name].token, now)
+            return entry
+
+        def answer() -> dict[str, object]:
+            lease = self.store.leases[name]
+            return {"token": lease.token, "ttlMs": lease.ttl_ms}
+
+        self._write(caller, plan, answer)
+
+    def _renew_lease(self, call: Call, caller: Caller, name: str) -> Answer:
+        fields = _fields(call)
+        holder, token = fields.name("holder"), fields.whole("token", None, 1)
+        fields.done()
+        lease = self.store.renew_lease(name, holder, token, self.now())
+        self.renewals += 1
+        return said(200, {"token": lease.token, "ttlMs": lease.ttl_ms})
+
+    def _release(self, call: Call, caller: Caller, name: str) -> None:
+        fields = _fields(call)
+        holder, token = fields.name("holder"), fields.whole("token", None, 1)
+        fields.done()
+        self._write(caller, lambda: self.store.plan_release(name, holder, token), lambda: {})
+
+    # --- Figures ------------------------------------------------------------------------------------------
+
+    def figures(self) -> str:
+        """What operators read."""
+        records = self.store.records.values()
+        out = sum(record.lifecycle() != READY for record in records)
+        now = self.now()
+        values = [
+            ("registry_revision", self.store.revision), ("registry_ready", int(self.ready())),
+            ('registry_servers{lifecycle="ready"}', len(records) - out),
+            ('registry_servers{lifecycle="draining"}', out),
+            ("registry_held_back", self.store.held_back),
+            ("registry_leases_held", sum(self.store.holder(n, now) is not None for n in self.store.leases)),
+            ("registry_connections", len(self.listener.callers)), ("registry_watches", len(self._watches)),
+            ("registry_changes_told_total", self.changes_told),
+            ("registry_turned_away_total", self.turned_away),
+            ("registry_dropped_total", self.listener.dropped),
+            ('registry_writes_total{result="done"}', self.writes),
+            ('registry_writes_total{result="refused"}', self.refused),
+            ('registry_writes_total{result="not_durable"}', self.failed),
+            ("registry_renewals_total", self.renewals), ("registry_expired_total", self.expired),
+            ("registry_log_entries", self.files.entries),
+            ("registry_log_broken", int(bool(self.files.broken))),
+            *self._process.figures()]
+        return "".join(f"{name} {value}\n" for name, value in values)
+
+
+def _row(name: str, record: Record | None) -> dict[str, object]:
+    """A server as discovery's protocol tells it."""
+    if record is None:
+        return {"instanceId": name, "lifecycle": GONE}
+    return {"instanceId": name, "hostPort": record.address, "zone": record.zone, "machineType": record.kind,
+            "cell": record.cell, "lifecycle": record.lifecycle(), "weight": record.weight,
+            "startedAtMs": record.started_at_ms}
+
+
+def _fields(call: Call) -> Fields:
+    """The fields of a call's body."""
+    try:
+        raw = json.loads(call.body or b"{}")
+    except (ValueError, RecursionError):
+        raise ConfigError("body: is not JSON") from None
+    if not isinstance(raw, dict):
+        raise ConfigError("body: must be an object")
+    return Fields(raw)
+
+
+def _expect(fields: Fields) -> int | None:
+    return fields.whole("expect", None, 0) if fields.has("expect") else None
+
+
+def _fence(fields: Fields) -> tuple[str, int] | None:
+    """The duty that a write is made for, and the token that it was granted with."""
+    if not fields.has("lease") and not fields.has("token"):
+        return None
+    return fields.name("lease"), fields.whole("token", None, 1)
+
+
+def _whole(call: Call, name: str, default: int | None) -> int | None:
+    text = call.query.get(name)
+    if text is None:
+        return default
+    if not (text.isascii() and text.isdigit() and len(text) <= 18):
+        raise ConfigError(f"{name}: must be a whole number")
+    return int(text)
