--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -116,6 +116,27 @@
     with_service(scenario, tmp_path)
 
 
+def test_a_gateways_watch_survives_a_service_that_comes_back_without_its_files(tmp_path: Path) -> None:
+    async def scenario(service: Service) -> None:
+        told: asyncio.Queue[Listing] = asyncio.Queue()
+        await service.register("s-1", "s-2")
+        watch = Discovery(asyncio.get_running_loop(), (LOOP, service.port), told.put_nowait)
+        watch.start()
+        assert {s.name for s in (await told.get()).servers} == {"s-1", "s-2"}
+        await service.stop()
+        service.folder = tmp_path / "new"
+        await service.start(wall_ms=2e6)
+        while not service.registry.turned_away_early:
+            await asyncio.sleep(0.01)
+        assert told.empty()  # it knows nobody, and says nothing
+        await service.register("s-1")
+        listing = await told.get()
+        assert listing.whole and [s.name for s in listing.servers] == ["s-1"]
+        watch.stop()
+
+    with_service(scenario, tmp_path / "old")
+
+
 def test_a_watch_waits_its_time_and_is_told_that_nothing_changed(tmp_path: Path) -> None:
     async def scenario(service: Service) -> None:
         revision = (await service.register("s-1")).body["revision"]
@@ -683,7 +704,7 @@
         await service.stop()
         service.folder = tmp_path / "new"
         await service.start(wall_ms=2e6)
-        while "empty list" not in watch.doubt:
+        while "503" not in watch.doubt:
             await watch.ask()
         assert set(watch.servers) == {"s-1", "s-2"} and service.store.revision > before
         await service.register("s-2")
@@ -707,6 +728,7 @@
         b"",
         reply(b'{"generation":1,"reset":true,"instances":[{"instanceId":7}]}'),
         reply(b'{"generation":0,"reset":false,"instances":[]}'),
+        reply(b'{"generation":9,"reset":true,"instances":[]}'),
     ],
 )
 def test_nonsense_keeps_the_last_good_list_and_tells_its_age(answer: bytes) -> None:
--- a/yewstage/registry/server.py
+++ b/yewstage/registry/server.py
@@ -53,11 +53,12 @@
         self._disk = ThreadPoolExecutor(1, "disk")  # a sync takes milliseconds: nobody else waits for it
         self._writing = asyncio.Lock()
         self._tasks: set[asyncio.Task] = set()
-        self._settled_at = loop.time() + (0.0 if store.records else config.settle_ms / 1000)
+        self._heard = bool(store.records)  # of a server, in this life or before
+        self._settled_at = loop.time() + (0.0 if self._heard else config.settle_ms / 1000)
         self._told_at = -TOLD_S
         self._process = Process()
         self.writes, self.refused, self.failed, self.renewals, self.expired = 0, 0, 0, 0, 0
-        self.turned_away = self.changes_told = 0
+        self.turned_away = self.turned_away_early = self.changes_told = 0
 
     async def start(self) -> tuple[str, int]:
         """Listen, and begin to look for servers whose time is up."""
@@ -73,8 +74,11 @@
         self._disk.shutdown()
 
     def ready(self) -> bool:
-        """Whether lists are told: a store that began empty has heard its servers, or waited long enough."""
-        return self._loop.time() >= self._settled_at
+        """Whether lists are told: a store that began empty has waited for its servers, and heard some.
+
+        Danger: to a gateway an empty list says that all servers are gone. One that knows none says nothing.
+        """
+        return self._heard and self._loop.time() >= self._settled_at
 
     def now(self) -> float:
         """The store's time: never set back."""
@@ -115,6 +119,7 @@
     def _list(self, call: Call, caller: Caller, name: str) -> Answer | None:
         after, wait_ms = _whole(call, "after", None), _whole(call, "wait_ms", 0)
         if not self.ready():
+            self.turned_away_early += 1
             return self._later("the list is not complete yet")
         if after is None:
             return self._listing(None)
@@ -201,6 +206,7 @@
             before = self.store.revision
             self.store.apply(entry, self.now())
             self.writes += 1
+            self._heard = self._heard or bool(self.store.records)
             if self.store.revision != before:
                 self._changed()
             if self.files.entries >= self.config.snapshot_entries:
@@ -362,7 +368,8 @@
             ("registry_leases_held", sum(self.store.holder(n, now) is not None for n in self.store.leases)),
             ("registry_connections", len(self.listener.callers)), ("registry_watches", len(self._watches)),
             ("registry_changes_told_total", self.changes_told),
-            ("registry_turned_away_total", self.turned_away),
+            ('registry_turned_away_total{reason="too_many"}', self.turned_away),
+            ('registry_turned_away_total{reason="not_ready"}', self.turned_away_early),
             ("registry_dropped_total", self.listener.dropped),
             ('registry_writes_total{result="done"}', self.writes),
             ('registry_writes_total{result="refused"}', self.refused),
