Count all bytes held against one budget; pass bodies both ways at once, within it

Need: what a gateway holds was bounded by the number of its clients only; a hundred readers that stop took 46 MB.

Design: each connection counts what it holds for each purpose against one budget, a fifth of the memory that a fresh process has left (measured: a byte held costs three to four). Above the high watermark long bodies take turns by credit: one read each, as far as the room goes, a body that holds something not before it has given that back. So what is held is flat in the number of streams, a slow one keeps only itself waiting, and none starves; a turn that is not used passes on, and if stalled ones hold all the room the longest stalled is ended after 5 s. New long bodies are refused at once; small requests have what is above the watermark. Not taken: a share for each stream (it shrinks below one read), stopping all until the low watermark (all then read at one moment), a limit on streams (fast ones hold nothing).

With it: an answer may begin, and end, while its upload is on its way; the rest of an upload is read for 5 s at most; an answer that cannot be had again is passed on at its first byte, by the module's word; the limit on uploads is a setting; an attempt no longer keeps a copy of its request once written.

--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -55,6 +55,9 @@
     def links(self, name: str) -> int:
         return 8
 
+    def may_repeat(self, request: str) -> bool:
+        return False
+
     def outcomes(self) -> list[str]:
         return [e.result for e in self.events if isinstance(e, api.Outcome)]
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -72,6 +72,9 @@
     def more(self, data: bytes) -> None:
         pass
 
+    def may_repeat(self, attempt: Attempt) -> bool:
+        return True
+
     def ended(self, attempt: Attempt, result: str, answer: Reply | None) -> None:
         self.ends.append((attempt.request, result))
 
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -215,7 +215,7 @@
 def test_a_dropped_class_is_taken_a_little_longer() -> None:
     async def scenario() -> None:
         loop = asyncio.get_running_loop()
-        core = type("Core", (), {"settings": settings(), "stats": Stats(())})
+        core = type("Core", (), {"settings": settings(), "stats": Stats(()), "longest_upload": 1})
         server = clients_module.Server(core, loop, 100)
         timers = []
         server.loop = type("Loop", (), {"call_later": lambda s, wait, *call: timers.append((wait, call))})()
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,415 @@
+"""Long bodies both ways at once, under pressure, broken off and lying about themselves."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from pathlib import Path
+
+import pytest
+from conftest import Rig, Seen, message, on_loop, read_message, reply
+from test_bodies import CHUNKED, Scripted, body_of, in_chunks, resident_mb, told
+
+MB = 2**20
+BIG = bytes(range(256)) * 4096  # 1 MB
+
+
+async def settled(rig: Rig) -> dict[str, float]:
+    """The figures once nothing is held and no stream is open."""
+    while True:
+        figures = await rig.figures()
+        held = sum(value for name, value in figures.items() if name.startswith("gateway_held_bytes{"))
+        if not held and not figures["gateway_streams_open"] and not figures["gateway_open_requests"]:
+            return figures
+        await asyncio.sleep(0.02)
+
+
+class Endless:
+    """A host whose answers have no end, and who counts what its readers make it keep."""
+
+    def __init__(self) -> None:
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def __call__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        if b"/api/" in head and b"small" in head:
+            writer.write(reply(b"small"))
+            return
+        self.writers.append(writer)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (32 * MB))
+        for _ in range(32):
+            writer.write(BIG)
+            await writer.drain()
+
+
+def test_a_hundred_long_answers_to_readers_that_stop_leave_memory_flat(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Scripted(tmp_path, Endless()) as rig:
+            peaks, clients = [], []
+            before = resident_mb(rig.process.pid)
+            for count in (25, 100):
+                while len(clients) < count:
+                    clients.append(await rig.connect())
+                    clients[-1][0]._transport.pause_reading()
+                    clients[-1][1].write(message())
+                open_now = 0
+                while open_now < min(count, 40):  # as many as find a link
+                    open_now = (await rig.figures())["gateway_streams_open"]
+                peaks.append((await rig.figures())["gateway_held_bytes_peak"])
+            figures = await rig.figures()
+            assert peaks[-1] <= 0.8 * figures["gateway_held_bytes_limit"] + 256 * 1024
+            assert resident_mb(rig.process.pid) - before < 2 * figures["gateway_held_bytes_limit"] / MB + 10
+            for _, writer in clients:
+                writer.transport.abort()
+            assert (await settled(rig))['gateway_streams_short_total{cause="client"}'] >= 25
+
+    rig_with(tmp_path, memory_mb=32)
+    on_loop(scenario, 60)
+
+
+def rig_with(folder: Path, **limits: object) -> None:
+    """Limits of the rigs of this test: they write their configuration themselves."""
+    (folder / "limits.json").write_text(json.dumps(limits))
+
+
+@pytest.fixture(autouse=True)
+def limits_of_the_test(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    spawn = Rig.spawn
+
+    async def limited(rig: Rig) -> None:
+        path = tmp_path / "limits.json"
+        if path.exists():
+            rig.config["limits"].update(json.loads(path.read_text()))
+            rig.path.write_text(json.dumps(rig.config))
+        await spawn(rig)
+
+    monkeypatch.setattr(Rig, "spawn", limited)
+
+
+def test_a_budget_used_up_by_slow_uploads_refuses_further_ones_at_once_and_serves_small_requests(
+    tmp_path: Path,
+) -> None:
+    async def scenario() -> None:
+        stuck = asyncio.Event()
+
+        async def host(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                if head.startswith(b"POST"):
+                    reader._transport.pause_reading()  # it takes nothing of it
+                    await stuck.wait()
+                writer.write(reply(b"small"))
+
+        async with Scripted(tmp_path, host) as rig:
+            uploads = []
+            status = 0
+            while not status:
+                assert len(uploads) < 100
+                reader, writer = await rig.connect()
+                uploads.append(writer)
+                writer.write(message("put", body=BIG * 8, rid=b"up%d" % len(uploads)))
+                refused = (await rig.figures())["gateway_bodies_refused_total"]
+                if refused:
+                    answer = await read_message(reader, writer)
+                    status = int(answer.line.split()[1])
+                    assert float(answer.headers["retry-after"]) > 0
+                else:
+                    await asyncio.sleep(0.02)
+            assert status == 503
+            for n in range(5):
+                assert await rig.status(message(rid=b"small%d" % n)) == 200
+            figures = await rig.figures()
+            limit = figures["gateway_held_bytes_limit"]
+            assert figures['gateway_held_bytes{use="uploads"}'] <= 0.8 * limit + 256 * 1024
+            for writer in uploads:
+                writer.transport.abort()
+            await settled(rig)
+            reader, writer = await rig.connect()
+            stuck.set()
+            writer.write(message("put", body=BIG, rid=b"after"))
+            assert (await read_message(reader, writer)).line.split()[1] == "200"
+
+    rig_with(tmp_path, memory_mb=24)
+    on_loop(scenario, 60)
+
+
+def test_a_slow_reader_holds_up_its_own_answer_and_no_other(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async def host(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(reply(BIG * 8))
+                await writer.drain()
+
+        async with Scripted(tmp_path, host) as rig:
+            reader, slow = await rig.connect()
+            slow.write(message())
+            await reader.readuntil(b"\r\n\r\n")
+            reader._transport.pause_reading()
+            for n in range(5):
+                quick, writer = await rig.connect()
+                writer.write(message(rid=b"q%d" % n))
+                assert await body_of(await quick.readuntil(b"\r\n\r\n"), quick) == BIG * 8
+                writer.close()
+            got = 0
+            while got < 8 * MB:  # as slow as it likes: it gets all of it
+                reader._transport.resume_reading()
+                got += len(await reader.read(64_000))
+                reader._transport.pause_reading()
+            slow.close()
+            figures = await settled(rig)
+            assert figures['gateway_passed_bytes_total{way="down"}'] == 6 * 8 * MB
+            assert not any(value for name, value in figures.items() if "streams_short" in name)
+
+    on_loop(scenario, 60)
+
+
+@pytest.mark.parametrize(
+    ("answer", "status"),
+    [(reply(b"early"), 200), (reply(b"no", 500), 502), (reply(b"", 503, b"X-Not-Run: 1\r\n"), 503)],
+)
+def test_an_answer_before_the_upload_has_ended_is_passed_on_and_the_rest_is_cut_off(
+    tmp_path: Path, answer: bytes, status: int
+) -> None:
+    async def scenario() -> None:
+        async def host(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(MB // 2)
+            writer.write(answer)
+            await reader.read()  # until the gateway ends the link
+
+        async with Scripted(tmp_path, host) as rig:
+            reader, writer = await rig.connect()
+            writer.write(message("put", body=BIG * 4)[: 2 * MB])  # and goes on sending later
+            seen = await read_message(reader, writer)
+            assert int(seen.line.split()[1]) == status and seen.headers["connection"] == "close"
+            with contextlib.suppress(ConnectionError):
+                for _ in range(100):  # the rest is read for a while, then cut off: never sent on
+                    writer.write(b"x" * 1000)
+                    await writer.drain()
+                    await asyncio.sleep(0.1)
+            figures = await settled(rig)
+            assert figures['gateway_streams_short_total{cause="answered"}'] == 1
+            assert rig.connections == 1 and figures["gateway_links_open"] == 0  # the link was not clean
+            writer.close()
+
+    on_loop(scenario, 60)
+
+
+def test_a_long_answer_may_flow_while_the_upload_is_still_on_its_way(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            head = await reader.readuntil(b"\r\n\r\n")
+            left = next(int(line.split(b":")[1]) for line in head.split(b"\r\n") if b"Content-Length" in line)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % left)
+            while left:
+                data = await reader.read(min(65536, left))
+                left -= len(data)
+                writer.write(data)
+                await writer.drain()
+
+        async with Scripted(tmp_path, echo) as rig:
+            reader, writer = await rig.connect()
+            data = message("put", body=BIG * 6)
+            body = data.index(b"\r\n\r\n") + 4
+            writer.write(data[: body + MB])
+            head = await reader.readuntil(b"\r\n\r\n")
+            first = await reader.readexactly(MB // 2)  # before the rest was even sent
+            writer.write(data[body + MB :])
+            rest = await reader.readexactly(6 * MB - MB // 2)
+            assert b" 200 " in head and first + rest == BIG * 6
+            writer.close()
+            figures = await settled(rig)
+            assert figures['gateway_fulfilled_total{priority="put"}'] == 1
+            assert figures["gateway_relayed_total"] == 1
+
+    on_loop(scenario)
+
+
+def test_the_first_bytes_of_an_answer_that_cannot_be_had_again_are_not_held(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        go_on = asyncio.Event()
+
+        async def host(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n")
+            await go_on.wait()  # only once the client has those
+            writer.write(b"4\r\nlast\r\n0\r\n\r\n")
+
+        async with Scripted(tmp_path, host) as rig:
+            reader, writer = await rig.connect()
+            writer.write(message("pay", key=False))
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert b"chunked" in head and await reader.readuntil(b"first\r\n") == b"5\r\nfirst\r\n"
+            go_on.set()
+            assert (await reader.readuntil(b"0\r\n\r\n")).startswith(b"4\r\nlast")
+            writer.close()
+
+    on_loop(scenario)
+
+
+def test_a_short_answer_that_breaks_before_its_end_is_had_again_where_it_may_be(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async def host(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            if rig.connections == 1:
+                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n")
+                await writer.drain()
+                writer.transport.abort()
+            else:
+                writer.write(reply(b"whole"))
+
+        async with Scripted(tmp_path, host) as rig:
+            assert (await rig.ask(message())).body == b"whole"
+
+    on_loop(scenario)
+
+
+def test_requests_that_follow_a_long_one_on_its_connection_are_answered_in_order(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Scripted(tmp_path, told) as rig:
+            reader, writer = await rig.connect()
+            writer.write(
+                message("put", body=BIG, rid=b"a")
+                + message("put", body=b"b" * 10, rid=b"b")
+                + message("put", drop="Content-Length", more=CHUNKED, rid=b"c")
+                + in_chunks(BIG)
+            )
+            sizes = [int((await read_message(reader, writer)).body.split()[0]) for _ in range(3)]
+            assert sizes == [MB, 10, MB]
+            writer.close()
+            await settled(rig)
+
+    on_loop(scenario)
+
+
+@pytest.mark.parametrize("how", ["leaves", "half closes", "resets"])
+@pytest.mark.parametrize("way", ["up", "down"])
+def test_a_client_that_goes_in_the_middle_ends_its_servers_link_and_gives_its_bytes_back(
+    tmp_path: Path, how: str, way: str
+) -> None:
+    async def scenario() -> None:
+        begun, ended = asyncio.Event(), asyncio.Event()
+
+        async def host(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            try:
+                if way == "up":
+                    await reader.readexactly(MB)
+                    begun.set()
+                    assert await reader.read() is not None
+                else:
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (64 * MB))
+                    begun.set()
+                    while True:
+                        writer.write(BIG)
+                        await writer.drain()
+            finally:
+                ended.set()
+
+        async with Scripted(tmp_path, host) as rig:
+            reader, writer = await rig.connect()
+            reader._transport.pause_reading()
+            writer.write(message("put", body=BIG * 4)[: 2 * MB] if way == "up" else message())
+            await begun.wait()
+            if how == "half closes":
+                writer.write_eof()  # by the protocol, who closes has gone away
+            else:
+                (writer.close if how == "leaves" else writer.transport.abort)()
+            await ended.wait()
+            figures = await settled(rig)
+            assert figures['gateway_streams_short_total{cause="client"}'] == 1
+            assert figures["gateway_links_open"] == 0
+            writer.transport.abort()
+
+    on_loop(scenario)
+
+
+@pytest.mark.parametrize(("length", "sent"), [(b"200000", BIG[:150_000]), (b"200000", BIG[:200_050])])
+def test_a_server_that_lies_about_its_length_is_not_used_again(
+    tmp_path: Path, length: bytes, sent: bytes
+) -> None:
+    async def scenario() -> None:
+        async def host(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %b\r\n\r\n" % length + sent)
+            await writer.drain()
+            writer.write_eof()
+
+        async with Scripted(tmp_path, host) as rig:
+            for n in range(2):
+                reader, writer = await rig.connect()
+                writer.write(message(rid=b"r%d" % n))
+                head = await reader.readuntil(b"\r\n\r\n")
+                assert b"Content-Length: 200000" in head
+                body = await reader.read(200_000)
+                while len(body) < 200_000 and (more := await reader.read(200_000 - len(body))):
+                    body += more
+                assert body == sent[:200_000]  # too short shows: the connection ends before its end
+                writer.close()
+            assert rig.connections == 2
+            await settled(rig)
+
+    on_loop(scenario)
+
+
+def test_a_client_that_sends_more_than_it_said_is_answered_and_its_rest_is_a_bad_request(
+    tmp_path: Path,
+) -> None:
+    async def scenario() -> None:
+        async with Scripted(tmp_path, told) as rig:
+            reader, writer = await rig.connect()
+            writer.write(message("put", body=BIG) + b"and more than that")
+            assert (await read_message(reader, writer)).body.split()[0] == b"1048576"
+            assert (await read_message(reader, writer)).line.split()[1] == "400"
+            writer.close()
+            await settled(rig)
+
+    on_loop(scenario)
+
+
+def test_uploads_end_at_the_limit_of_the_settings(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Scripted(tmp_path, told) as rig:
+            assert await rig.status(message("put", body=BIG)) == 200
+            assert await rig.status(message("put", body=BIG * 2 + b"x")) == 413
+            reader, writer = await rig.connect()
+            writer.write(message("put", drop="Content-Length", more=CHUNKED) + in_chunks(BIG * 3))
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                assert (await read_message(reader, writer)).line.split()[1] == "413"
+            writer.close()
+            await settled(rig)
+
+    rig_with(tmp_path, upload_mb=2)
+    on_loop(scenario)
+
+
+@pytest.mark.parametrize(
+    "limits", [{"memory_mb": 0}, {"memory_mb": "many"}, {"upload_mb": -1}, {"upload_mb": True}]
+)
+def test_limits_out_of_range_end_the_start(limits: dict) -> None:
+    from test_retune import raw
+
+    from yewstage.net.config import ConfigError, parse
+
+    tree = raw()
+    tree["limits"].update(limits)
+    with pytest.raises(ConfigError, match=f"limits.{next(iter(limits))}"):
+        parse(tree)
+
+
+def serve(seen: Seen) -> bytes:
+    return reply(b"ok")
+
+
+def test_the_figures_tell_what_bodies_come_to(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with Rig(tmp_path, serve) as rig:
+            assert await rig.status(message("put", body=BIG)) == 200
+            figures = await settled(rig)
+            assert figures['gateway_passed_bytes_total{way="up"}'] == MB
+            assert 0 < figures["gateway_held_bytes_peak"] <= figures["gateway_held_bytes_limit"]
+            assert figures["gateway_bodies_refused_total"] == figures["gateway_streams_stopped_total"] == 0
+
+    on_loop(scenario)
--- a/yewstage/__main__.py
+++ b/yewstage/__main__.py
@@ -157,7 +157,7 @@
     logging.info("reconfigured: discovery %s, counter %s, classes %s, %d attempts", config.discovery,
                  config.counter, ", ".join(c.name for c in settings.classes), settings.try_limit)
     server.retune(names)
-    server.resize(config.sockets)
+    server.resize(config.sockets, config.longest_upload)
     core.reconfigure(config)
     core.stats.accepted += 1
 
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -25,10 +25,11 @@
 BACKLOG = 256
 CLIENT_SHARE = 0.5  # of the descriptors
 LONGEST_HEAD = 32 * 1024
-LONGEST_UPLOAD = 32 * 1024 * 1024
 HEAD_S = 2.2  # how long a head may take to come in, a connection's first one from when it was opened
 BODY_S = 0.7  # how far its body may then be behind BODY_RATE
 BODY_RATE = 64_000.0  # bytes a second, the slowest that a body may come
+FULL_RETRY_MS = 1000.0  # a long body that finds no room may come again after that, at the soonest
+DRAIN_S = 5.0  # how long the rest of a body is read whose request is answered already
 READ_S = 30.0  # a client that takes nothing of its answer for so long is gone
 IDLE_S = 75.0  # how long an idle connection is kept while there is room
 SPARE_S = 2.0  # a connection idle for longer gives its place to a new client
@@ -172,6 +173,10 @@
         self._ending = False
         self._pumping = False
         self._crowded = self._slowed = False  # what must not be read yet: requests behind others, a body
+        self._choked = self._draining = False  # by the budget; its answer is whole and not all read yet
+        self._held_in = server.core.budget.account("requests")
+        self._held_out = server.core.budget.account("answers")
+        self._kept = 0  # of the request that is owed its answer
         self._paused_at: float | None = None  # since when we do not read
         self._blocked_at: float | None = None  # since when the client does not read its answers
         self._head = 0  # bytes of the head being read
@@ -184,6 +189,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
+        transport.set_write_buffer_limits(high=0)  # so that what is held for it is known to the byte
         self.since = self.heard_at = self._server.now()
         self._server.connections.add(self)
         self._server.use.opened()
@@ -193,6 +199,17 @@
         if not self._ending:
             self._parse(data)
             self._pump()
+            self._held_in.set(self._inbound())
+
+    def _inbound(self) -> int:
+        """Bytes of requests that are here: being read, waiting, or owed their answer."""
+        size = self._kept
+        if self._message is None and not self._queue:
+            return size
+        for item in (self._message, *self._queue):
+            if isinstance(item, _Message):
+                size += item.head + (0 if item.upload is not None else item.size)
+        return size
 
     def _parse(self, data: bytes) -> None:
         in_body = self._message is not None and self._message.headed_at
@@ -224,20 +241,43 @@
     def pause_writing(self) -> None:
         # Guards the memory: no further request is taken, no more of an answer read, until it has read this.
         self._blocked_at = self._server.now()
-        if self._source is not None:
-            self._source.hold(True)
+        self._hold_source()
 
     def resume_writing(self) -> None:
         self._blocked_at = None
-        if self._source is not None:
-            self._source.hold(False)
+        self._held_out.set(self.transport.get_write_buffer_size())
+        if self._draining:
+            self._draining = False
+            self._held_out.finish()
+        self._hold_source()
         self._pump()
 
+    def _choke(self, stopped: bool) -> None:
+        """The budget's word on the answer that is being passed on."""
+        self._choked = stopped
+        self._hold_source()
+
+    def _hold_source(self) -> None:
+        if self._source is not None:
+            self._source.hold(self._blocked_at is not None or self._choked)
+
+    def _evict(self) -> None:
+        """Others need the room that this connection holds and does nothing with."""
+        self._core.stats.cut_short("no_room")
+        self.transport.abort()
+
     def eof_received(self) -> None:
-        """The client has gone away; the transport closes itself."""
+        """The client has gone away; the transport closes itself once it has written what is left.
+
+        A long answer is not waited for: who takes none of it would keep it here.
+        """
+        if self._source is not None:
+            self.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._server.closed(self)
+        self._held_in.end()
+        self._held_out.end()
         self._ending = True
         self._queue.clear()
         self._source = None
@@ -302,14 +342,22 @@
             return 0
         if not path.startswith(b"/api/"):
             return 404
-        if (message.length or 0) > LONGEST_UPLOAD:
+        if (message.length or 0) > self._server.longest_upload:
             return 413
         try:
             message.order = order(message, self._server.names)
         except BadRequestError:
             return 400
+        if (message.length or 0) <= LONGEST_BODY and not self._core.budget.admits(message.length or 0):
+            return self._refused(message)
         return 0
 
+    def _refused(self, message: _Message) -> int:
+        """There is no room for what would come: refused at once, before a byte of it goes on."""
+        self._core.budget.refused += 1
+        self._core.stats.ended(message.order.cls.name, 503)
+        return 503
+
     def _invite(self) -> None:
         """Ask for a body that waits for our word, once all before it is answered."""
         message = self._message
@@ -320,7 +368,10 @@
 
     def _upload(self, message: _Message) -> None:
         """Its body is too long to keep: take the request now, pass the body on as it comes."""
-        message.upload = Upload(message.length, self._slow)
+        if not self._core.budget.admits_long():
+            self._reject(self._refused(message))
+            return
+        message.upload = Upload(message.length, self._slow, self._core.budget.account("uploads"), self._evict)
         message.expects = message.headers.get(b"expect", b"").lower() == b"100-continue" and not message.size
         narrow(self.transport, socket.SO_RCVBUF)
         if message.body:
@@ -333,11 +384,12 @@
         if self._ending:
             return
         message.size += len(data)
-        if message.size > LONGEST_UPLOAD:
+        if message.size > self._server.longest_upload:
             self._spoil(413)
         elif message.method == b"GET":
             self._spoil(400)
         elif message.upload is not None:
+            self._core.stats.passed_up += len(data)
             message.upload.feed(data)
         else:
             message.body.append(data)
@@ -439,6 +491,7 @@
         if item.upload is None:
             wanted.body, item.body = b"".join(item.body), []
         wanted.head += _framing(item)
+        self._kept = len(wanted.head) + len(wanted.body)
         rid = self._core.request(self, wanted)
         if self._busy:  # else it is answered already
             self._open = rid
@@ -449,7 +502,7 @@
     def _answer_and_close(self, status: int) -> None:
         """Answer what is not a client's request, and leave whoever sent it no place."""
         self._ending = True
-        self.answer(status)
+        self.answer(status, retry_after_ms=FULL_RETRY_MS if status == 503 else 0.0)
 
     def _keeps(self) -> bool:
         """Whether the connection goes on behind the answer that is due."""
@@ -458,7 +511,8 @@
         return bool(self._queue) or not (self._ending or self._core.draining or self._server.crowded())
 
     def _answered(self) -> None:
-        self._open, self._busy, self._source = None, False, None
+        self._open, self._busy, self._source, self._kept = None, False, None, 0
+        self._held_in.set(self._inbound())
         self.served += 1
         self.since = self._server.now()
         if self._taken is not None and self._taken.upload is not None:
@@ -478,7 +532,7 @@
             parts.append(b"Retry-After: %.3f\r\n" % (retry_after_ms / 1000))
         parts.append(b"\r\n" if keep else b"Connection: close\r\n\r\n")
         parts.append(body)
-        self.transport.write(b"".join(parts))
+        self._write(b"".join(parts))
         if not keep:
             self._end()
         self._pump()
@@ -500,18 +554,22 @@
             parts.append(b"Content-Type: %b\r\n" % content_type)
         parts.append(b"\r\n" if self._stays else b"Connection: close\r\n\r\n")
         narrow(self.transport, socket.SO_SNDBUF)
+        self._held_out.begin(self._choke, self._evict)
         self._write(b"".join(parts))
-        if self._blocked_at is not None:
-            source.hold(True)
+        self._hold_source()
 
     def more(self, data: bytes) -> None:
         """Pass on a part of it."""
+        self._core.stats.passed_down += len(data)
         self._write(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
 
     def finish(self) -> None:
         """It is whole."""
         if self._chunked:
             self._write(b"0\r\n\r\n")
+        self._draining = self._blocked_at is not None
+        if not self._draining:
+            self._held_out.finish()
         self._answered()
         if not self._stays:
             self._end()
@@ -526,6 +584,7 @@
     def _write(self, data: bytes) -> None:
         if not self.transport.is_closing():
             self.transport.write(data)
+            self._held_out.set(self.transport.get_write_buffer_size())
 
     def _end(self) -> None:
         """Close after the last answer. What the client still sends is read for a while: a close with unread
@@ -540,7 +599,13 @@
             self._queue.clear()
             self.transport.write_eof()
             self._server.loop.call_later(LINGER_S, self.transport.abort)
-        # Else the rest of its body is read and dropped, at its pace: see `on_message_complete`.
+        else:  # the rest of its body is read and dropped, for a while: see `on_message_complete`
+            self._server.loop.call_later(DRAIN_S, self._cut_rest, message)
+
+    def _cut_rest(self, message: _Message) -> None:
+        if self._message is message and not self.transport.is_closing():
+            self._core.stats.cut_short("answered")
+            self.transport.abort()
 
     def state(self) -> str:
         """For the log: what this connection is at."""
@@ -614,6 +679,7 @@
         self.names = Names(core.settings)
         self.connections: set[ClientConnection] = set()
         self.use = core.stats.descriptors.uses["clients"]
+        self.longest_upload = core.longest_upload
         self._sockets = sockets
         self._socket: socket.socket | None = None
         self._open = self._accepting = False
@@ -628,9 +694,9 @@
         self.names = late
         self.loop.call_later(DROPPED_S, self._drop, late, names)
 
-    def resize(self, sockets: int) -> None:
-        """Go by another limit of descriptors: who is here stays, room is made or found as it comes."""
-        self._sockets = sockets
+    def resize(self, sockets: int, longest_upload: int) -> None:
+        """Go by other limits: who is here stays, room is made or found as it comes."""
+        self._sockets, self.longest_upload = sockets, longest_upload
         self._resume()
 
     def _drop(self, late: Names, names: Names) -> None:
@@ -762,6 +828,7 @@
         now = self.now()
         for connection in list(self.connections):
             connection.check(now)
+        self.core.budget.check()
         if not self._room():
             self._make_room()
         self.loop.call_later(SWEEP_S, self._sweep)
--- a/yewstage/net/config.py
+++ b/yewstage/net/config.py
@@ -21,6 +21,8 @@
 # Of connections to servers: what holds if nothing is said, and the least that makes sense.
 LINKS = (("bounds.dial_timeout_ms", 250.0, 1.0), ("bounds.conn_idle_ms", 15000.0, 1.0),
          ("penalties.handshake", 0.0, 0.0))
+DEFAULT_MEMORY_MB, LEAST_MEMORY_MB = 192, 24  # an idle gateway takes 14
+DEFAULT_UPLOAD_MB, LEAST_UPLOAD_MB = 32, 0.0625  # what is kept whole is no long body
 LARGEST = 1e12  # no time in milliseconds and no count is larger
 
 
@@ -45,6 +47,8 @@
     keys: frozenset[str]  # all that the file holds, by path
     dial_ms: float
     idle_ms: float
+    memory_mb: float
+    longest_upload: int  # bytes
 
 
 def load(environ: Mapping[str, str]) -> Config:
@@ -118,7 +122,9 @@
         counter=address(raw, "counter") if counter else None,
         ops=address(raw, "ops") if raw.get("ops") else None, listen_fd=listen_fd, seed=_seed(raw),
         sockets=_sockets(raw), settings=settings, known=known, keys=keys,
-        dial_ms=links["dial_timeout_ms"], idle_ms=links["conn_idle_ms"])
+        dial_ms=links["dial_timeout_ms"], idle_ms=links["conn_idle_ms"],
+        memory_mb=_limit(raw, "memory_mb", DEFAULT_MEMORY_MB, LEAST_MEMORY_MB),
+        longest_upload=int(_limit(raw, "upload_mb", DEFAULT_UPLOAD_MB, LEAST_UPLOAD_MB) * 2 ** 20))
 
 
 def _descriptor(environ: Mapping[str, str]) -> int | None:
@@ -230,6 +236,15 @@
         raise ConfigError(f"seed: {raw.get('seed')!r} is not a hex number") from None
 
 
+def _limit(raw: Mapping[str, object], name: str, default: float, least: float) -> float:
+    limits = raw.get("limits") or {}
+    value = limits.get(name, default) if isinstance(limits, dict) else None
+    number = isinstance(value, (int, float)) and not isinstance(value, bool)
+    if not number or not least <= value < LARGEST:
+        raise ConfigError(f"limits.{name}: {value!r} is not a number of {least:g} or more")
+    return value
+
+
 def _sockets(raw: Mapping[str, object]) -> int:
     limits = raw.get("limits") or {}
     value = limits.get("sockets", DEFAULT_SOCKETS) if isinstance(limits, dict) else None
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -13,6 +13,7 @@
 
 from yewstage import interface as api
 from yewstage import wire
+from yewstage.net.budget import Budget
 from yewstage.net.config import Config
 from yewstage.net.counter import Counter
 from yewstage.net.discovery import Discovery, Listing
@@ -25,6 +26,8 @@
 log = logging.getLogger(__name__)
 
 UPSTREAM_SHARE = 0.3  # of the descriptors
+BODY_SHARE = 0.2  # of the memory that a fresh process has left: a byte that is held costs three to four
+LEAST_ROOM = 2 * 2 ** 20
 TRANSIT_MS = 4.0  # what a request may have spent on its way to us and its answer may on its way back
 GUARD_MS = 8.0  # the guard answers this long before the client's time is up
 MODULE_MS = 20.0  # the module is told of an end this much earlier, so that it comes first
@@ -110,10 +113,14 @@
         self._gateway = Gateway(config.settings, config.seed)
         self.stats = Stats(c.name for c in config.settings.classes)
         self._most = int(UPSTREAM_SHARE * config.sockets)
+        own = self.stats.process.memory_bytes()[1]
+        self._room = max(int(BODY_SHARE * (config.memory_mb * 2 ** 20 - own)), LEAST_ROOM)
+        self.budget = Budget(self._room, loop.time)
+        self.longest_upload = config.longest_upload
         uses = self.stats.descriptors.uses
         self._hosts = Hosts(loop, self._most, config.dial_ms, config.idle_ms, self, uses["servers"],
                             bound=self._gateway.links, clock_ms=self._clock.now_ms,
-                            rng=random.Random(config.seed))
+                            rng=random.Random(config.seed), budget=self.budget)
         self._pool = self._hosts.pool
         self._discovery = Discovery(loop, config.discovery, self._listed,
                                     config.known.generation if config.known.servers else None,
@@ -154,6 +161,7 @@
         self.stats.know(c.name for c in config.settings.classes)
         self._pool.tune(config.dial_ms, config.idle_ms)
         self._most = int(UPSTREAM_SHARE * config.sockets)
+        self.longest_upload = config.longest_upload
         self.share(self.shared)
         self._post(api.Retuned(config.settings))
         self._discovery.move(config.discovery)
@@ -161,9 +169,10 @@
             self._counter.move(config.counter, config.settings.count_wait_ms)
 
     def share(self, shared: bool) -> None:
-        """Go on with half of the descriptors, or with all of them."""
+        """Go on with half of the descriptors and of the room for bodies, or with all of them."""
         self.shared = shared
         self._pool.limit(self._most // (2 if shared else 1))
+        self.budget.limit(self._room // (2 if shared else 1))
 
     def hand_over(self) -> dict[str, object]:
         """What the next process must know; from now on that process holds it."""
@@ -193,7 +202,18 @@
 
     def figures(self) -> str:
         """What operators read."""
-        return self.stats.text(self._owed, *self._gateway.rotation(), self._pool.figures())
+        return self.stats.text(self._owed, *self._gateway.rotation(), self._pool.figures(),
+                               self._body_figures())
+
+    def _body_figures(self) -> dict[str, float]:
+        budget = self.budget
+        return {**{f'held_bytes{{use="{use}"}}': size for use, size in budget.by_use().items()},
+                "held_bytes_peak": budget.peak, "held_bytes_limit": budget.most,
+                "streams_open": budget.streams(), "streams_stopped_total": budget.stops,
+                "bodies_refused_total": budget.refused,
+                'passed_bytes_total{way="up"}': self.stats.passed_up,
+                'passed_bytes_total{way="down"}': self.stats.passed_down,
+                **{f'streams_short_total{{cause="{cause}"}}': n for cause, n in self.stats.short.items()}}
 
     def farewell(self) -> str:
         """What this life came to, for the log."""
@@ -255,6 +275,8 @@
         """The client is gone."""
         request = self._requests.get(rid)
         if request is not None and request.client is not None:
+            if request.streaming is not None or request.order.upload is not None:
+                self.stats.cut_short("client")
             bound = [a for a in request.attempts if a is not None
                      and (a is request.streaming or a.upload is not None)]
             self._close(request)
@@ -340,7 +362,10 @@
         """An attempt's last byte was written."""
         self.stats.relayed += 1
         request = self._requests[attempt.request]
-        if attempt.upload is not None and request.client is not None:
+        if attempt.upload is not None and request.streaming is not None:
+            request.taken = True  # its answer is on its way already: no guard
+            self._owed += 1
+        elif attempt.upload is not None and request.client is not None:
             self._take(request, request.order.time_left_ms - TRANSIT_MS)
             self._post(api.Uploaded(request.id))
 
@@ -350,11 +375,16 @@
         if request.client is None or request.streaming is not None:
             return None
         request.streaming = attempt
-        request.guard.cancel()
+        if request.guard is not None:  # else its body is still on its way
+            request.guard.cancel()
         request.client.begin(length, reply.headers.get(b"content-type", b""), source)
         self._post(api.StreamStarted(request.id, attempt.number, self._took_ms(attempt)))
         return request.client
 
+    def may_repeat(self, attempt: Attempt) -> bool:
+        """Whether the module could send the request again if this answer broke."""
+        return self._gateway.may_repeat(attempt.request)
+
     def ended(self, attempt: Attempt, result: str, reply: Reply | None) -> None:
         """An attempt's one end."""
         request = self._requests[attempt.request]
@@ -392,6 +422,7 @@
             client.finish()
         else:
             self.stats.ended(request.order.cls.name, 502)
+            self.stats.cut_short("server")
             _tell_story(request, 200, "cut short")
             client.cut()
 
--- a/yewstage/net/hosts.py
+++ b/yewstage/net/hosts.py
@@ -23,6 +23,9 @@
     def started(self, attempt: Attempt, reply: Reply, length: int | None, source: Source) -> Stream | None:
         """A long answer has begun; None if nobody is there to read it."""
 
+    def may_repeat(self, attempt: Attempt) -> bool:
+        """Whether the request could be sent again if its answer broke."""
+
     def ended(self, attempt: Attempt, result: str, reply: Reply | None) -> None:
         """Its one end."""
 
@@ -32,7 +35,7 @@
 
     __slots__ = ("request", "number", "server", "payload", "sent_at", "link", "timer", "wait_timer", "done",
                  "idle_s", "result", "took_s", "cause", "upload", "timeout_s", "begun_at", "kind", "hosts",
-                 "waiting", "touched")
+                 "waiting", "touched", "streams")
 
     def __init__(self, request: str, number: int, server: str, payload: bytes, sent_at: float,
                  upload: Upload | None = None, kind: str = "") -> None:
@@ -45,7 +48,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.wait_timer: asyncio.TimerHandle | None = None
         self.waiting = self.touched = False  # for a link; something of it may have left
-        self.done = False
+        self.done = self.streams = False  # its answer is on its way to the client
         # For the log: how long its link had stood idle (None: a new one), and how it ended.
         self.idle_s: float | None = None
         self.result, self.took_s, self.cause = "out", 0.0, ""
@@ -150,7 +153,7 @@
 
     def sent(self, attempt: Attempt) -> None:
         """The last byte of an attempt has left; a long body's time runs from here."""
-        if attempt.upload is not None:
+        if attempt.upload is not None and not attempt.streams:
             attempt.sent_at = time.monotonic()
             attempt.timer = self.loop.call_later(attempt.timeout_s, self._overdue, attempt)
         self._owner.sent(attempt)
@@ -159,9 +162,15 @@
         """A long answer has begun: from here on the client owns the attempt, no time-out ends it."""
         stream = self._owner.started(attempt, reply, length, link)
         if stream is not None:
-            attempt.timer.cancel()
+            attempt.streams = True
+            if attempt.timer is not None:  # else its body is still on its way
+                attempt.timer.cancel()
         return stream
 
+    def may_repeat(self, attempt: Attempt) -> bool:
+        """Whether another host could have it if this one's answer broke: the module's word."""
+        return attempt.upload is None and self._owner.may_repeat(attempt)
+
     def replied(self, attempt: Attempt, reply: Reply) -> None:
         """A whole answer: the attempt is over."""
         self._end(attempt, _result(reply), reply)
--- a/yewstage/net/http1.py
+++ b/yewstage/net/http1.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from yewstage.net.budget import Held
 from yewstage.net.stats import Use
 
 LONGEST_BODY = 64 * 1024  # kept whole; what is longer is passed on as it comes
@@ -41,8 +42,11 @@
 class Upload:
     """A body too long to keep, on its way from a client to a host: each end holds the other back."""
 
-    def __init__(self, length: int | None, hold: Callable[[bool], None]) -> None:
+    def __init__(self, length: int | None, hold: Callable[[bool], None], held: Held,
+                 evict: Callable[[], None]) -> None:
         self._length, self._hold = length, hold  # no length: sent on in chunks
+        self._held, self._full, self._choked = held, False, False  # why its client is held back
+        held.begin(self._choke, evict)
         self._waiting: list[bytes] = []  # until there is a connection
         self._size = 0
         self._host: ReplyProtocol | None = None
@@ -73,23 +77,36 @@
         """The attempt is over: the rest is read and dropped."""
         self._over, self._host = True, None
         self._waiting.clear()
+        self._held.end()
+        self._full = self._choked = False
         self._hold(False)
 
     def drained(self) -> None:
         """All that was passed on has left this process."""
-        self._hold(False)
+        self._note(0)
+
+    def _choke(self, stopped: bool) -> None:
+        """The budget's word."""
+        self._choked = stopped
+        self._hold(self._full or self._choked)
+
+    def _note(self, size: int, most: int = 0) -> None:
+        """So much of it is here; more than `most` holds its client back."""
+        self._full = size > most
+        self._held.set(size)
+        self._hold(self._full or self._choked)
 
     def _pass_on(self, data: bytes) -> None:
         if self._host is None:
             self._waiting.append(data)
             self._size += len(data)
-            self._hold(self._size >= LONGEST_BODY)
+            self._note(self._size, LONGEST_BODY - 1)
             return
         if self._host.transport.is_closing():
             return  # its loss will be told
         if data:
             self._host.transport.write(data)
-        self._hold(self._host.transport.get_write_buffer_size() > 0)
+        self._note(self._host.transport.get_write_buffer_size())
         self._host.flushed()
 
 
--- a/yewstage/net/pool.py
+++ b/yewstage/net/pool.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from yewstage import interface as api
+from yewstage.net.budget import Budget
 from yewstage.net.http1 import (
     GIVEN_UP,
     LONGEST_BODY,
@@ -71,6 +72,9 @@
     def streams(self, link: Link, job: Job, reply: Reply, length: int | None) -> Stream | None:
         """A long answer has begun; None if nobody reads it."""
 
+    def may_repeat(self, job: Job) -> bool:
+        """Whether another server could have it if this answer broke."""
+
     def replied(self, job: Job, reply: Reply) -> None:
         """Its whole answer has come."""
 
@@ -159,8 +163,9 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, most: int, dial_ms: float, idle_ms: float, ends: Ends,
                  use: Use | None = None, bound: Callable[[str], int] | None = None,
                  clock_ms: Callable[[], float] = lambda: time.time() * 1000,
-                 rng: random.Random | None = None) -> None:
+                 rng: random.Random | None = None, budget: Budget | None = None) -> None:
         self.loop, self.ends, self.clock_ms = loop, ends, clock_ms
+        self.budget = budget or Budget(2 ** 30, loop.time)
         self._use, self._rng = use or Use(), rng or random.Random()
         self._bound = bound or (lambda name: most)  # links to one server, dials included
         self._most = most
@@ -439,6 +444,7 @@
         self.idle_since = self.retires_at = 0.0
         self.share = 0.0  # of the server's idle limit, after which we retire it
         self.opened_ms = 0.0  # by the clock that all machines share
+        self._kept = pool.budget.account("answers")  # what has come of an answer that is kept whole
         self._answer: tuple[Job, Reply, bool] | None = None
         self._stream: Stream | None = None  # who reads the answer that is coming
         self._held = False  # by a client that reads slowly
@@ -463,6 +469,7 @@
             job.upload.attach(self, job.payload)
             return
         self.write(job.payload)
+        job.payload = b""  # held by the transport, as far as it is not gone
         if not self.unsent:
             self._pool.ends.sent(job)
 
@@ -491,8 +498,11 @@
         self._read += 1
         super().data_received(data)
         if self._in_body and self._hold_timer is None and self._stream is None and self._length() is None:
-            self._hold_timer = self._pool.loop.call_later(HOLD_S, self._held_enough)
+            # To hold it back helps only where another server could have the request if this one broke.
+            hold_s = HOLD_S if self.job is not None and self._pool.ends.may_repeat(self.job) else 0.0
+            self._hold_timer = self._pool.loop.call_later(hold_s, self._held_enough)
         self._hand_on()
+        self._kept.set(0 if self._stream is not None else self._size)
 
     def _hand_on(self) -> None:
         """Hand an answer on once all that came with it is read.
@@ -593,4 +603,5 @@
 
     def lost(self) -> None:
         self._stop_holding()
+        self._kept.end()
         self._pool.closed(self)
--- a/yewstage/net/stats.py
+++ b/yewstage/net/stats.py
@@ -13,6 +13,7 @@
 
 
 USES = ("clients", "servers", "counter", "discovery", "ops")
+SHORT_CAUSES = ("server", "client", "no_room", "answered")
 STATM = "/proc/self/statm"
 OPEN_FILES = "/proc/self/fd"
 
@@ -72,15 +73,25 @@
         """The most memory that was resident at one time."""
         return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * (1 if sys.platform == "darwin" else 1024)
 
+    @staticmethod
+    def memory_bytes() -> tuple[int, int]:
+        """Resident memory, and the part of it that is this process's own: libraries are shared by all
+        gateways
+        of a machine. The most so far, where the system tells no more."""
+        try:
+            with open(STATM, "rb") as statm:
+                resident, shared = map(int, statm.read().split()[1:3])
+            return resident * resource.getpagesize(), (resident - shared) * resource.getpagesize()
+        except OSError:
+            return Process.peak_bytes(), Process.peak_bytes()
+
     def figures(self) -> list[tuple[str, float]]:
         """Names and values; what this system does not tell is left out, not guessed."""
         figures = [("process_cpu_seconds_total", round(self.cpu_s(), 6)),
                    ("process_start_time_seconds", round(self._started, 3)),
                    ("process_max_fds", resource.getrlimit(resource.RLIMIT_NOFILE)[0])]
+        figures.append(("process_resident_memory_bytes", self.memory_bytes()[0]))
         try:
-            with open(STATM, "rb") as statm:
-                pages = int(statm.read().split()[1])
-            figures.append(("process_resident_memory_bytes", pages * resource.getpagesize()))
             figures.append(("process_open_fds", len(os.listdir(OPEN_FILES)) - 1))  # less the one that lists
         except OSError:
             pass
@@ -96,6 +107,8 @@
         self._faulted: dict[str, int] = {}
         self.relayed = 0  # attempts whose last byte was written
         self.accepted = self.invalid = 0  # configuration files at SIGHUP
+        self.passed_up = self.passed_down = 0  # bytes of long bodies
+        self.short = dict.fromkeys(SHORT_CAUSES, 0)  # long bodies that ended before their end
         self.descriptors = Descriptors()
         self.process = Process()
         self.know(classes)
@@ -112,12 +125,16 @@
                   else self._throttled if status in REFUSED else self._faulted)
         counts[class_name] += 1
 
+    def cut_short(self, cause: str) -> None:
+        """A long body has ended before its end."""
+        self.short[cause] += 1
+
     def requests(self) -> int:
         """Final answers given, of whatever kind."""
         return sum(sum(counts.values()) for counts in (self._fulfilled, self._throttled, self._faulted))
 
     def text(self, open_requests: int, listed: int, avoided: int,
-             links: Mapping[str, float] | None = None) -> str:
+             *more: Mapping[str, float]) -> str:
         """All figures in the Prometheus text form; what is no count is given by who knows it."""
         lines = [f'gateway_{kind}_total{{priority="{_escaped(name)}"}} {count}'
                  for kind, counts in (("fulfilled", self._fulfilled), ("throttled", self._throttled),
@@ -127,7 +144,7 @@
             ("relayed_total", self.relayed), ("open_requests", open_requests),
             ("registry_entries", listed), ("out_of_rotation", avoided),
             ("cfg_accepted_total", self.accepted), ("cfg_invalid_total", self.invalid),
-            *(links or {}).items())]
+            *(pair for figures in more for pair in figures.items()))]
         lines += [f'gateway_descriptors{{use="{name}"}} {use.held}'
                   for name, use in self.descriptors.uses.items()]
         lines += [f"{name} {value}" for name, value in self.process.figures()]
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -298,6 +298,16 @@
             mean = self.done_rate * self.aim * host.nominal / self.size
         return max(1, math.ceil(mean + mean ** 0.5))
 
+    def may_repeat(self, request: str) -> bool:
+        """Whether a request could be sent on again if the answer that is coming broke.
+
+        While it could, an answer that may soon be whole is better held than begun: what was passed on cannot
+        be taken back.
+        """
+        held = self.held.get(request)
+        return (held is not None and held.req.kept and not held.answered and held.cls.effect == "safe"
+                and len(held.attempts) < held.most and self.bank >= 1)
+
     def rotation(self) -> tuple[int, int]:
         """How many servers are listed, and how many of these get no ordinary work now."""
         return len(self.hosts), sum(1 for h in self.hosts.values() if not h.up or h.fails)
