--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -435,6 +435,24 @@
     with_service(scenario, tmp_path, snapshot_entries=10)
 
 
+def test_a_wall_clock_that_was_set_back_changes_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario(service: Service) -> None:
+        await service.register("s-1", "s-2", "s-3")
+        token = (await service.call("PUT", "leases/d", {"holder": "x", "ttlMs": 5000})).body["token"]
+        before = service.store.revision
+        monkeypatch.setattr(time, "time", lambda: 1.0)  # while it runs, and over a restart
+        assert not service.store.overdue(service.registry.now())
+        await service.stop()
+        await service.start(wall_ms=1.0)
+        assert await service.ids() == ["s-1", "s-2", "s-3"] and service.store.revision == before
+        assert (await service.register("s-4")).body["revision"] > before
+        assert (await service.call("POST", "leases/d/renew", {"holder": "x", "token": token})).status == 200
+
+    with_service(scenario, tmp_path)
+
+
 def test_two_writers_that_race_end_with_one_told_409(tmp_path: Path) -> None:
     async def scenario(service: Service) -> None:
         revision = (await service.register("s-1")).body["revision"]
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import signal
 from pathlib import Path
 
 import pytest
@@ -413,3 +414,73 @@
             assert figures["gateway_bodies_refused_total"] == figures["gateway_streams_stopped_total"] == 0
 
     on_loop(scenario)
+
+
+@pytest.mark.parametrize("spoil", [b"zz\r\n", b"ffffffffffffffffff\r\n", b"5\r\nabcdefg\r\n"])
+def test_an_upload_that_breaks_its_framing_ends_without_a_further_byte_to_its_server(
+    tmp_path: Path, spoil: bytes
+) -> None:
+    async def scenario() -> None:
+        got: list[bytes] = []
+
+        async def host(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            while data := await reader.read(65536):
+                got.append(data)
+
+        async with Scripted(tmp_path, host) as rig:
+            reader, writer = await rig.connect()
+            writer.write(message("put", drop="Content-Length", more=CHUNKED) + in_chunks(BIG, last=spoil))
+            writer.write(in_chunks(b"never"))
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                assert (await read_message(reader, writer)).line.split()[1] == "400"
+            writer.close()
+            await settled(rig)
+            sent = b"".join(got)
+            assert b"never" not in sent and not sent.endswith(b"0\r\n\r\n")  # and it can tell
+
+    on_loop(scenario)
+
+
+def test_an_upgrade_lets_bodies_that_are_on_their_way_end_in_the_old_process(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async def host(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            head = await reader.readuntil(b"\r\n\r\n")
+            if head.startswith(b"POST"):
+                await told_of(head, reader, writer)
+            else:
+                writer.write(reply(BIG * 8))
+
+        async def told_of(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            body = await body_of(head, reader)
+            writer.write(reply(b"%d" % len(body)))
+
+        rig = Scripted(tmp_path, host)
+        rig.hold()
+        async with rig:
+            old = rig.process
+            down, asks = await rig.connect()
+            asks.write(message(rid=b"down"))
+            await down.readuntil(b"\r\n\r\n")
+            down._transport.pause_reading()
+            up, sends = await rig.connect()
+            data = message("put", body=BIG * 2, rid=b"up")
+            sends.write(data[:MB])
+            while (await rig.figures())["gateway_streams_open"] < 2:
+                await asyncio.sleep(0.01)
+            await rig.spawn()
+            while (await rig.ops("/ops/readiness")).line.split()[1] != "200":
+                await asyncio.sleep(0.02)
+            old.send_signal(signal.SIGTERM)
+            await rig.logged("taking over")
+            sends.write(data[MB:])
+            answer = await read_message(up, sends)
+            assert (answer.body, answer.headers["connection"]) == (b"%d" % (2 * MB), "close")
+            down._transport.resume_reading()
+            assert await down.readexactly(8 * MB) == BIG * 8
+            for writer in (asks, sends):
+                writer.close()
+            assert await old.wait() == 0
+            assert await rig.status(message("put", body=BIG, rid=b"new")) == 200
+
+    on_loop(scenario)
