Let go of a link before the last chunk of its answer is written

Followed by its id: one dial, one reuse, the link closed as given up, no byte held, no stream open; so its answer was there and not read. Ruled out: the budget (no stream was stopped), the server (its drain had returned). Cause: finish() writes the last chunk after the link was given back. Since every unsent byte holds its source (watermarks of 0), a full buffer at that moment stopped the link's reading, and the word to go on found no source any more. Mend: the source is forgotten first.

--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -6,11 +6,16 @@
 import contextlib
 import json
 import signal
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
-from conftest import Rig, Seen, message, on_loop, read_message, reply
+from conftest import Fake, Rig, Seen, message, on_loop, read_message, reply
 from test_bodies import CHUNKED, Scripted, body_of, in_chunks, resident_mb, told
+from test_net_parts import core_with
+
+from yewstage import interface as api
+from yewstage.net.clients import ClientConnection, Server
 
 MB = 2**20
 BIG = bytes(range(256)) * 4096  # 1 MB
@@ -416,6 +421,51 @@
     on_loop(scenario)
 
 
+class Full:
+    """A client's transport of which a test says when its buffer is full."""
+
+    def __init__(self, connection: ClientConnection) -> None:
+        self._connection, self.full = connection, False
+
+    def __getattr__(self, name: str) -> Callable[..., None]:
+        return lambda *args, **how: None
+
+    def is_closing(self) -> bool:
+        return False
+
+    def get_write_buffer_size(self) -> int:
+        return 5 if self.full else 0
+
+    def write(self, data: bytes) -> None:
+        if self.full:
+            self._connection.pause_writing()
+
+
+def test_the_end_of_an_answer_does_not_hold_a_link_that_is_free_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario() -> None:
+        host = Fake(lambda seen: None)
+        core, script = await core_with(monkeypatch, host)
+        connection = ClientConnection(Server(core, asyncio.get_running_loop(), 100))
+        transport = Full(connection)
+        connection.connection_made(transport)
+        script.plan[api.Request] = [api.Send("r1", "s-0", 5000)]
+        connection.data_received(message())
+        holds: list[bool] = []
+        connection.begin(None, b"", type("Link", (), {"hold": lambda link, held: holds.append(held)})())
+        connection.more(b"all of it")
+        assert True not in holds
+        transport.full = True
+        connection.finish()  # its last chunk finds the buffer full, and the link has another's answer by now
+        transport.full = False
+        connection.resume_writing()
+        assert True not in holds
+        host.stop()
+
+    on_loop(scenario)
+
+
 @pytest.mark.parametrize("spoil", [b"zz\r\n", b"ffffffffffffffffff\r\n", b"5\r\nabcdefg\r\n"])
 def test_an_upload_that_breaks_its_framing_ends_without_a_further_byte_to_its_server(
     tmp_path: Path, spoil: bytes
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -14,6 +14,7 @@
 
 from yewstage import interface as api
 from yewstage.net import clients as clients_module
+from yewstage.net.budget import Budget
 from yewstage.net.handover import SERVING, STATE, WAITING, Handover
 
 
@@ -104,7 +105,8 @@
             self.closed = True
 
     ours, theirs = socket.socketpair()
-    connection = clients_module.ClientConnection(type("Server", (), {"core": None}))
+    core = type("Core", (), {"budget": Budget(2 ** 20, lambda: 0.0)})
+    connection = clients_module.ClientConnection(type("Server", (), {"core": core}))
     connection.transport = Transport(ours)
     theirs.send(b"G")
     connection.close_if_idle()
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -565,6 +565,9 @@
 
     def finish(self) -> None:
         """It is whole."""
+        # Danger: its link is free by now, and may be another's: what is left to write must not hold that
+        # back.
+        self._source = None
         if self._chunked:
             self._write(b"0\r\n\r\n")
         self._draining = self._blocked_at is not None
