--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -951,3 +951,56 @@
         assert await service.process.wait() == 0
 
     on_loop(scenario, 60)
+
+
+def test_the_checkers_process_takes_an_unwell_server_out_and_leaves_its_duty_to_the_next(
+    tmp_path: Path,
+) -> None:
+    async def scenario() -> None:
+        service = Program(tmp_path)
+        await service.start()
+        client = Client([(LOOP, service.port)])
+        hosts = [await Fake(lambda seen, n=n: reply(b"", 200 if n else 503)).start() for n in range(3)]
+        for n, host in enumerate(hosts):
+            body = {"hostPort": f"{LOOP}:{host.port}", "ttlMs": 60000}
+            assert (await client.call("PUT", f"/v1/endpoints/s-{n}", body)).status == 200
+        path = tmp_path / "checker.json"
+        path.write_text(
+            json.dumps(
+                {
+                    "name": "c",
+                    "registry": [f"{LOOP}:{service.port}"],
+                    "ops": f"{LOOP}:0",
+                    "probing": True,
+                    "rate_per_s": 100,
+                    "ttl_ms": 30000,
+                }
+            )
+        )
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "yewstage.checker",
+            "--config",
+            str(path),
+            cwd=ROOT,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        lifecycles: dict[str, str] = {}
+        while lifecycles != {"s-0": "draining", "s-1": "ready", "s-2": "ready"}:
+            told = await client.call("GET", "/v1/endpoints")
+            lifecycles = {i["instanceId"]: i["lifecycle"] for i in told.body["instances"]}
+            await asyncio.sleep(0.02)
+        (lease,) = (await client.call("GET", "/v1/leases")).body["leases"]
+        assert lease["name"] == "checker" and lease["holder"].startswith("c.")
+        process.terminate()
+        assert await process.wait() == 0
+        (lease,) = (await client.call("GET", "/v1/leases")).body["leases"]
+        assert lease["holder"] == ""  # at once, not after its 30 s
+        client.close()
+        for host in hosts:
+            host.stop()
+        service.process.terminate()
+        assert await service.process.wait() == 0
+
+    on_loop(scenario, 60)
