Count the first 64 KiB of a long body as passed on, too

Seen by a test of one-byte pieces: of 70,000 bytes sent on in chunks the figure told 4,463. What had come before the body proved long was handed on in one piece and not counted.

--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -534,3 +534,33 @@
             assert await rig.status(message("put", body=BIG, rid=b"new")) == 200
 
     on_loop(scenario)
+
+
+def test_one_byte_pieces_both_ways(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async def host(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                body = await body_of(head, reader)
+                for byte in reply(body[:200]):
+                    writer.write(bytes([byte]))
+                    await writer.drain()
+
+        async with Scripted(tmp_path, host) as rig:
+            reader, writer = await rig.connect()
+            for byte in message("put", body=BIG[:300]):
+                writer.write(bytes([byte]))
+                await writer.drain()
+            assert (await read_message(reader, writer)).body == BIG[:200]
+            writer.close()
+            reader, writer = await rig.connect()
+            writer.write(
+                message("put", drop="Content-Length", more=CHUNKED) + in_chunks(BIG[:70_000], size=1)
+            )
+            assert (await read_message(reader, writer)).body == BIG[:200]
+            writer.close()
+            figures = await settled(rig)
+            assert figures['gateway_passed_bytes_total{way="up"}'] == 70_000
+            assert figures['gateway_fulfilled_total{priority="put"}'] == 2
+
+    on_loop(scenario)
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -375,6 +375,7 @@
         message.expects = message.headers.get(b"expect", b"").lower() == b"100-continue" and not message.size
         narrow(self.transport, socket.SO_RCVBUF)
         if message.body:
+            self._core.stats.passed_up += message.size
             message.upload.feed(b"".join(message.body))
             message.body.clear()
         self._queue.append(message)
