Add the plumwall command with what the services need by hand

A new user had three modules to start by python -m and no way to check a file without starting something. The list service's client as a command moves here (servers, drain, undrain, leases); its module keeps the client.

--- /dev/null
+++ b/plumwall/__main__.py
@@ -0,0 +1,6 @@
+"""`python -m plumwall`."""
+
+from plumwall.cli.main import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/plumwall/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The commands: each parses its words, calls a part, prints what came of it."""
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -927,7 +927,7 @@
             assert [i["instanceId"] for i in told.body["instances"]] == ["s-0", "s-1"]
             await served(5)
             done = await asyncio.to_thread(
-                run, "yewstage.registry.client", "--at", f"{LOOP}:{service.port}", "drain", "s-0"
+                run, "plumwall", "drain", "s-0", "--at", f"{LOOP}:{service.port}"
             )
             assert done.returncode == 0 and "draining" in done.stdout
             await rig.logged("s-0 draining")
@@ -935,9 +935,10 @@
             await served(10)
             assert len(rig.hosts[0].seen) == count
             listed = await asyncio.to_thread(
-                run, "yewstage.registry.client", "--at", f"{LOOP}:{service.port}", "list"
+                run, "plumwall", "servers", "--at", f"{LOOP}:{service.port}", "--json"
             )
-            assert [line.split()[0::3] for line in listed.stdout.splitlines()] == [["s-0"], ["s-1"]]
+            rows = [(row["instanceId"], row["lifecycle"]) for row in json.loads(listed.stdout)]
+            assert rows == [("s-0", "draining"), ("s-1", "ready")]
             reader, writer = await asyncio.open_connection(LOOP, service.ops_port)
             writer.write(b"GET /ops/stats HTTP/1.1\r\n\r\n")
             figures = (await reader.read()).decode()
--- a/yewstage/registry/client.py
+++ b/yewstage/registry/client.py
@@ -1,24 +1,19 @@
 """The list service's clients: calls that outlive its failures, a list that is kept, a duty held by lease.
 
-`python -m yewstage.registry.client --at HOST:PORT list` shows the servers, `drain ID` and `undrain ID` change
-what they get, `leases` shows who holds what.
+By hand: `plumwall servers`, `drain`, `undrain`, `leases`.
 """
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import json
 import logging
 import random
-import sys
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-import uvloop
-
 from yewstage import interface as api
-from yewstage.net.config import Address, ConfigError, address
+from yewstage.net.config import Address
 from yewstage.net.discovery import Listing, parse_listing
 from yewstage.net.http1 import LONGEST_LIST, Dial, Reply, ReplyProtocol
 from yewstage.net.stats import Use
@@ -294,61 +289,3 @@
                                     {"holder": self._holder, "token": self.token})
         except SilentError as error:
             log.warning("%s could not be given up: %s", self.name, error)
-
-
-async def _command(addresses: Sequence[Address], words: Sequence[str]) -> int:
-    """One command; 0 if it was done."""
-    client = Client(addresses)
-    calls = {"list": ("GET", "/v1/endpoints", None), "leases": ("GET", "/v1/leases", None)}
-    if words[0] in ("drain", "undrain"):
-        call = ("POST", f"/v1/endpoints/{words[1]}/drain", {"draining": words[0] == "drain"})
-    else:
-        call = calls[words[0]]
-    told = None
-    for _ in range(2 * len(addresses)):  # repeating any of these is harmless
-        try:
-            told = await client.call(*call)
-            break
-        except SilentError as error:
-            print(f"no answer: {error}", file=sys.stderr)
-            await asyncio.sleep(client.rest_s())
-    client.close()
-    if told is None:
-        return 1
-    if told.status != 200:
-        print(f"{told.status}: {told.body.get('error', '')}", file=sys.stderr)
-        return 1
-    for line in _lines(words[0], told.body):
-        print(line)
-    return 0
-
-
-def _lines(word: str, body: dict[str, object]) -> list[str]:
-    if word == "list":
-        return [f"{row['instanceId']:24} {row['hostPort']:21} {row['zone']:12} {row['lifecycle']}"
-                for row in body["instances"]]
-    if word == "leases":
-        return [f"{lease['name']:24} {lease['holder'] or '-':24} token {lease['token']}, "
-                f"{lease['endsInMs'] / 1000:.1f} s left" for lease in body["leases"]]
-    return [f"{body.get('lifecycle', 'gone')} at revision {body['revision']}"]
-
-
-def main() -> int:
-    parser = argparse.ArgumentParser(prog="python -m yewstage.registry.client",
-                                     description=__doc__.splitlines()[0])
-    parser.add_argument("--at", required=True, metavar="HOST:PORT[,...]", help="addresses of the service")
-    parser.add_argument("command", choices=("list", "leases", "drain", "undrain"))
-    parser.add_argument("id", nargs="?")
-    options = parser.parse_args()
-    if (options.command in ("drain", "undrain")) != bool(options.id):
-        parser.error("drain and undrain take an id, list and leases take none")
-    try:
-        addresses = [address({"at": at}, "at") for at in options.at.split(",")]
-    except ConfigError as error:
-        print(error, file=sys.stderr)
-        return 2
-    return uvloop.run(_command(addresses, [options.command, *([options.id] if options.id else [])]))
-
-
-if __name__ == "__main__":
-    sys.exit(main())
