--- /dev/null
+++ b/plumwall/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""The world on loopback sockets, round gateways that are the real program."""
