Emulate the world on loopback sockets round real gateways: plumwall up and load

A new user had nothing to try a gateway with. One process for all was left out, since it would share its processor with what it measures; so was one address for all gateways: each calls at addresses of its own, which is how a cut path and a call's origin are known. A machine that vanishes must not refuse: the kernel accepts for a listening socket, so a silent door shrinks its queue to none and fills it itself. Children die with their parent (PR_SET_PDEATHSIG).

The load is an open loop: latency counts from when a try was due, its own lateness is measured and voids a run. /ops/stats tells the pressure and the share let in, which the table shows.

--- a/plumwall/cli/check.py
+++ b/plumwall/cli/check.py
@@ -46,17 +46,23 @@
     for kind, field in zip(KINDS, ("settings", "folder", "probing"), strict=True):
         if field in raw:
             return kind
-    raise ConfigError("settings, folder, probing: none is there, so whose file this is cannot be told; "
-                      "say --kind")
+    raise ConfigError(
+        "settings, folder, probing: none is there, so whose file this is cannot be told; say --kind"
+    )
 
 
 def _gateway(file: Path) -> dict[str, object]:
     made: Config = load({"ROUTER_CONFIG": str(file)})
     Names(made.settings)
-    return {"name": made.name, "listen": _text(made.listen), "discovery": _text(made.discovery),
-            "classes": ", ".join(c.name for c in made.settings.classes),
-            "plans": ", ".join(p.name for p in made.settings.plans),
-            "fleet": made.settings.fleet_size, "known": len(made.known.servers)}
+    return {
+        "name": made.name,
+        "listen": _text(made.listen),
+        "discovery": _text(made.discovery),
+        "classes": ", ".join(c.name for c in made.settings.classes),
+        "plans": ", ".join(p.name for p in made.settings.plans),
+        "fleet": made.settings.fleet_size,
+        "known": len(made.known.servers),
+    }
 
 
 def _registry(file: Path) -> dict[str, object]:
@@ -74,4 +80,7 @@
 
 
 _CHECKS: dict[str, Callable[[Path], dict[str, object]]] = {
-    "gateway": _gateway, "registry": _registry, "checker": _checker}
+    "gateway": _gateway,
+    "registry": _registry,
+    "checker": _checker,
+}
--- a/plumwall/cli/console.py
+++ b/plumwall/cli/console.py
@@ -14,8 +14,17 @@
 DONE, FAILED, BAD_USE = 0, 1, 2
 LINES_EVERY_S = 2.0  # of progress, where the output is no terminal
 
-out = Console(highlight=False)
-err = Console(stderr=True, highlight=False)
+WIDTH = 160  # of a table, where the output is no terminal
+
+
+def _console(stderr: bool) -> Console:
+    made = Console(stderr=stderr, highlight=False, soft_wrap=True)
+    if not made.is_terminal:
+        made.width = WIDTH
+    return made
+
+
+out, err = _console(False), _console(True)
 
 
 class BadFileError(click.ClickException):
@@ -40,13 +49,14 @@
     click.echo(msgspec.json.encode(value).decode())
 
 
-def say_table(columns: Sequence[str], rows: Sequence[Sequence[object]], title: str = "",
-              json_: bool = False) -> None:
+def say_table(
+    columns: Sequence[str], rows: Sequence[Sequence[object]], title: str = "", json_: bool = False
+) -> None:
     """Rows as a table, or as JSON objects by column."""
     if json_:
         say_json([dict(zip(columns, row, strict=True)) for row in rows])
         return
-    out.print(table(columns, rows, title))
+    out.print(table(columns, rows, title), soft_wrap=False)
 
 
 def table(columns: Sequence[str], rows: Sequence[Sequence[object]], title: str = "") -> Table:
--- a/plumwall/cli/main.py
+++ b/plumwall/cli/main.py
@@ -12,11 +12,19 @@
 
 # Where each command lives. Help for one does not pay for the imports of the others.
 COMMANDS = {
-    "gateway": "service:gateway", "registry": "service:registry", "checker": "service:checker",
-    "servers": "servers:servers", "drain": "servers:drain", "undrain": "servers:undrain",
-    "leases": "servers:leases", "config": "check:config",
+    "up": "play:up",
+    "load": "play:load",
+    "scenario": "scenario:scenario",
+    "gateway": "service:gateway",
+    "registry": "service:registry",
+    "checker": "service:checker",
+    "servers": "servers:servers",
+    "drain": "servers:drain",
+    "undrain": "servers:undrain",
+    "leases": "servers:leases",
+    "config": "check:config",
 }
-LIBRARIES = ("click", "rich", "msgspec", "httptools", "uvloop")
+LIBRARIES = ("click", "rich", "msgspec", "numpy", "hdrhistogram", "httptools", "uvloop")
 
 
 class Lazy(click.Group):
@@ -51,8 +59,14 @@
     Example:
       plumwall version --json
     """
-    fields({"plumwall": VERSION, "python": platform.python_version(),
-            **{name: metadata.version(name) for name in LIBRARIES}}, json_)
+    fields(
+        {
+            "plumwall": VERSION,
+            "python": platform.python_version(),
+            **{name: metadata.version(name) for name in LIBRARIES},
+        },
+        json_,
+    )
 
 
 def main() -> None:
--- a/plumwall/cli/servers.py
+++ b/plumwall/cli/servers.py
@@ -24,9 +24,15 @@
 
 def at_option(command: Callable) -> Callable:
     """Where the service is."""
-    return click.option("--at", required=True, metavar="HOST:PORT[,...]", callback=_addresses,
-                        envvar="PLUMWALL_REGISTRY", show_envvar=True,
-                        help="Addresses of the list service.")(command)
+    return click.option(
+        "--at",
+        required=True,
+        metavar="HOST:PORT[,...]",
+        callback=_addresses,
+        envvar="PLUMWALL_REGISTRY",
+        show_envvar=True,
+        help="Addresses of the list service.",
+    )(command)
 
 
 def _id(context: click.Context, parameter: click.Parameter, value: str) -> str:
@@ -35,8 +41,9 @@
     return value
 
 
-def ask(at: list[Address], method: str, path: str, body: dict[str, object] | None = None,
-        quiet: bool = False) -> dict[str, object]:
+def ask(
+    at: list[Address], method: str, path: str, body: dict[str, object] | None = None, quiet: bool = False
+) -> dict[str, object]:
     """One call, repeated while nobody answers; fails with what the service said."""
 
     async def call() -> Told:
--- a/plumwall/cli/service.py
+++ b/plumwall/cli/service.py
@@ -18,8 +18,14 @@
 
 
 @click.command()
-@click.option("--config", type=FILE, envvar="ROUTER_CONFIG", required=True, show_envvar=True,
-              help="What the gateway is told, as JSON.")
+@click.option(
+    "--config",
+    type=FILE,
+    envvar="ROUTER_CONFIG",
+    required=True,
+    show_envvar=True,
+    help="What the gateway is told, as JSON.",
+)
 def gateway(config: Path) -> None:
     """Run one gateway, as `python -m yewstage` does.
 
--- /dev/null
+++ b/tests/test_emulator.py
@@ -0,0 +1,215 @@
+"""The emulator round the real program: short runs by the command that users type."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from conftest import LOOP, on_loop
+
+from plumwall.emulator.door import Door, respond
+from plumwall.emulator.tally import Tally
+
+ROOT = Path(__file__).parent.parent
+SMALL = """
+name = "small"
+length_s = 2
+[fleet]
+gateways = 2
+[servers]
+count = 4
+[load]
+rate_per_s = 30
+[[classes]]
+name = "view-statement"
+share = 0.5
+work_ms = 20
+[[classes]]
+name = "post-remittance"
+share = 0.5
+work_ms = 20
+effect = "unsafe"
+"""
+
+
+def command(*words: str) -> list[str]:
+    return [sys.executable, "-m", "plumwall", *words]
+
+
+def play(folder: Path, text: str, *words: str) -> tuple[subprocess.CompletedProcess[str], dict]:
+    """`plumwall up` on a scenario; how it ended, and its outcome."""
+    (folder / "small.toml").write_text(text)
+    done = subprocess.run(
+        command("up", str(folder / "small.toml"), "--out", str(folder / "run"), "--json", *words),
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=100,
+    )
+    return done, json.loads(done.stdout) if done.stdout else {}
+
+
+def left_behind(folder: Path) -> list[str]:
+    """Processes that name a folder in their environment or words: none may outlive a run."""
+    found = []
+    for entry in Path("/proc").iterdir():
+        if entry.name.isdigit() and int(entry.name) != os.getpid():
+            try:
+                told = (entry / "environ").read_bytes() + (entry / "cmdline").read_bytes()
+            except OSError:
+                continue
+            if str(folder).encode() in told:
+                found.append(entry.name)
+    return found
+
+
+def test_a_run_of_real_gateways_keeps_the_rules_and_leaves_no_process(tmp_path: Path) -> None:
+    done, outcome = play(tmp_path, SMALL)
+    verdict = outcome["verdict"]
+    assert verdict["kept"] and not verdict["findings"], done.stderr
+    assert verdict["counts"]["served"] > 20 and verdict["counts"]["unended"] == 0
+    assert {row["name"] for row in outcome["rows"] if row["group"] == "gateway"} == {"n0", "n1"}
+    assert left_behind(tmp_path) == []
+
+
+def test_a_gateway_that_sends_twice_ends_the_run_with_status_1(tmp_path: Path) -> None:
+    (tmp_path / "deploy").mkdir()
+    (tmp_path / "deploy" / "balancer.toml").write_text(
+        f'run = "cd {ROOT} && PYTHONPATH=. exec {sys.executable} tests/double_sender.py"\n'
+    )
+    done, outcome = play(tmp_path, SMALL, "--deploy", str(tmp_path / "deploy" / "balancer.toml"))
+    assert done.returncode == 1 and "rules broken: effects" in done.stderr
+    found = outcome["verdict"]["findings"][0]
+    assert found["rule"] == "effects" and found["request"] and found["server"] and found["gateway"]
+
+
+def test_gateways_and_servers_are_killed_over_and_over_and_nothing_stays(tmp_path: Path) -> None:
+    faults = "".join(
+        f"""
+[[faults]]
+kind = "{kind}"
+at_s = {0.2 + i * 0.35:.2f}
+for_s = 0.3
+part = 0.5
+"""
+        for i, kind in enumerate(("gateway_killed", "crash") * 5)
+    )
+    done, outcome = play(tmp_path, SMALL.replace("length_s = 2", "length_s = 4") + faults)
+    kinds = [json.loads(line) for line in (tmp_path / "run" / "run.jsonl").read_text().splitlines()]
+    killed = [k for k in kinds if k["t"] == "fault" and k["kind"] in ("gateway_kill", "server_crash")]
+    assert len(killed) >= 15 and outcome["verdict"]["kept"], done.stderr
+    assert left_behind(tmp_path) == []
+
+
+def test_an_interrupted_run_ends_all_that_it_started(tmp_path: Path) -> None:
+    (tmp_path / "small.toml").write_text(SMALL.replace("length_s = 2", "length_s = 60"))
+    with subprocess.Popen(
+        command("up", str(tmp_path / "small.toml"), "--out", str(tmp_path / "run")),
+        cwd=ROOT,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.PIPE,
+        text=True,
+    ) as process:
+        while "the load begins" not in process.stderr.readline():
+            assert process.poll() is None
+        assert len(left_behind(tmp_path)) >= 2
+        process.send_signal(signal.SIGINT)
+        process.stderr.read()
+        assert process.wait(timeout=30) == 1
+    assert left_behind(tmp_path) == []
+    assert "ended: " in (tmp_path / "run" / "n0.log").read_text()  # by SIGTERM, in order
+
+
+def test_a_gateway_that_cannot_start_is_told_with_its_last_words(tmp_path: Path) -> None:
+    (tmp_path / "deploy").mkdir()
+    (tmp_path / "deploy" / "balancer.toml").write_text('run = "echo no luck >&2; exit 3"\n')
+    done, _ = play(tmp_path, SMALL, "--deploy", str(tmp_path / "deploy" / "balancer.toml"))
+    assert done.returncode == 1 and "status 3: no luck" in done.stderr
+    assert left_behind(tmp_path) == []
+
+
+@pytest.mark.parametrize(
+    ("words", "part"),
+    [
+        (("up", "nothing-like-it"), "no built-in scenario"),
+        (("up", "quiet", "--rate", "0"), "--rate"),
+        (("load", "--at", "here"), "--at"),
+        (("up", "quiet", "--burst", "90", "3", "0"), "load.burst_for_s"),
+    ],
+)
+def test_bad_use_starts_nothing(tmp_path: Path, words: tuple[str, ...], part: str) -> None:
+    done = subprocess.run(
+        command(*words),
+        cwd=tmp_path,
+        capture_output=True,
+        text=True,
+        check=False,
+        env={**os.environ, "PYTHONPATH": str(ROOT)},
+    )
+    assert done.returncode == 2 and part in done.stderr and not list(tmp_path.iterdir())
+
+
+def test_a_door_serves_refuses_keeps_silent_and_speaks_again() -> None:
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        door = Door(loop, LOOP, lambda slot: slot.answer(respond(200, b"ok")))
+        host, port = door.address.split(":")
+
+        async def dial(within_s: float = 5.0) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+            async with asyncio.timeout(within_s):
+                return await asyncio.open_connection(host, int(port))
+
+        with pytest.raises(ConnectionRefusedError):
+            await dial()
+        door.open()
+        reader, writer = await dial()
+        ask = b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n"
+        writer.write(ask)
+        assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+        await reader.readuntil(b"ok")
+        door.keep_silent()
+        with pytest.raises(TimeoutError):
+            await dial(0.2)  # not refused: it never comes up
+        writer.write(ask)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await reader.readline()
+        door.speak_again()
+        assert (await reader.readline()).startswith(b"HTTP/1.1 200")  # what waited is answered
+        await reader.readuntil(b"ok")
+        door.refuse()
+        with pytest.raises(ConnectionError):
+            await reader.readexactly(1)
+        with pytest.raises(ConnectionRefusedError):
+            await dial()
+        door.open()
+        (await dial())[1].close()
+        door.close()
+
+    on_loop(scenario)
+
+
+def test_a_late_load_tool_says_so_and_hides_nothing() -> None:
+    class Pending:
+        def __init__(self, due: float) -> None:
+            self.due, self.gateway = due, "n0"
+            self.first = type("First", (), {"cls": 0, "customer": 0})
+
+    tally = Tally(["view"], ["basic"])
+    for i in range(100):
+        pending = Pending(due=i)
+        tally.sent(pending, i + 50.0)  # each 50 ms late
+        tally.ended(pending, "whole", 200, i + 60.0)
+    assert "late" in tally.void()
+    row = next(row for row in tally.rows() if row.group == "gateway")
+    assert row.served == 100 and 59 < row.p50_ms < 61  # from when it was due, not from when it was sent
+    other = Tally(["view"], ["basic"])
+    other.add(tally.state())
+    assert other.rows() == tally.rows() and other.sent_count == 100
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -203,7 +203,11 @@
     def figures(self) -> str:
         """What operators read."""
         return self.stats.text(self._owed, *self._gateway.rotation(), self._pool.figures(),
-                               self._body_figures())
+                               self._body_figures(), self._ramp_figures())
+
+    def _ramp_figures(self) -> dict[str, float]:
+        """How pressed the back end looks, and what part of new work is let in by that."""
+        return {"pressure": round(self._gateway.q, 4), "admitted_share": round(self._gateway.f, 4)}
 
     def _body_figures(self) -> dict[str, float]:
         budget = self.budget
