Log events with fields, as text or JSON lines, and take figures by prometheus_client

A program that reads the log had to take sentences apart. Each thing logged is now one event: a name, fields, and a text that is a template over them, so that both forms say the same; text is as it was. Request id and gateway are fields, attempts are objects with server, result and times; the limit of lines a second holds for both, and what it leaves out is told in the same form.

Figures of the list service and the checker come by prometheus_client, with help and type lines.

--- a/plumwall/cli/service.py
+++ b/plumwall/cli/service.py
@@ -4,13 +4,29 @@
 
 import os
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 import click
 
+from yewstage.log import FORMATS
+
 FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
 
 
+def log_format(command: Callable) -> Callable:
+    """How the program logs."""
+    return click.option(
+        "--log-format",
+        type=click.Choice(FORMATS),
+        help="Text for people, or JSON lines; goes before the file's `log`.",
+    )(command)
+
+
+def _format(chosen: str | None) -> list[str]:
+    return ["--log-format", chosen] if chosen else []
+
+
 def _become(module: str, *words: str) -> None:
     """Replace this process: what runs in service carries nothing of the workbench."""
     sys.stdout.flush()
@@ -26,7 +42,8 @@
     show_envvar=True,
     help="What the gateway is told, as JSON.",
 )
-def gateway(config: Path) -> None:
+@log_format
+def gateway(config: Path, log_format: str | None) -> None:
     """Run one gateway, as `python -m yewstage` does.
 
     \b
@@ -34,28 +51,32 @@
       plumwall gateway --config config.json
     """
     os.environ["ROUTER_CONFIG"] = str(config)
+    if log_format:
+        os.environ["ROUTER_LOG"] = log_format
     _become("yewstage")
 
 
 @click.command()
 @click.option("--config", type=FILE, required=True, help="What the list service is told, as JSON.")
-def registry(config: Path) -> None:
+@log_format
+def registry(config: Path, log_format: str | None) -> None:
     """Run the list service.
 
     \b
     Example:
       plumwall registry --config registry.json
     """
-    _become("yewstage.registry", "--config", str(config))
+    _become("yewstage.registry", "--config", str(config), *_format(log_format))
 
 
 @click.command()
 @click.option("--config", type=FILE, required=True, help="What the checker is told, as JSON.")
-def checker(config: Path) -> None:
+@log_format
+def checker(config: Path, log_format: str | None) -> None:
     """Run a checker of the listed servers.
 
     \b
     Example:
       plumwall checker --config checker.json
     """
-    _become("yewstage.checker", "--config", str(config))
+    _become("yewstage.checker", "--config", str(config), *_format(log_format))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 import dataclasses
 import json
 import os
+import re
 import resource
 import socket
 import sys
@@ -217,6 +218,11 @@
             "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0}
 
 
+def port_in(line: str) -> int:
+    """The port of the address that a log line ends with, as text or as JSON."""
+    return int(re.search(r":(\d+)\D*$", line)[1])
+
+
 class Rig:
     """The real program between fake hosts, a fake counter and a fake discovery."""
 
@@ -275,8 +281,8 @@
         while "listening on" not in (line := (await self.process.stderr.readline()).decode()):
             assert line, "the program ended at its start"
             if "operators' address" in line:
-                self.ops_port = int(line.rsplit(":", 1)[1])
-        self.port = int(line.rsplit(":", 1)[1])
+                self.ops_port = port_in(line)
+        self.port = port_in(line)
         if "sockets" in self.limits:
             resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (self.limits["sockets"],) * 2)
         self.processes.append(self.process)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -414,7 +414,7 @@
         assert told.status == 503 and told.retry_after_s > 0
         assert await service.ids() == ["s-1"] and service.store.revision == revision
         assert (await service.call("POST", "endpoints/s-1/renew", {})).status == 200
-        assert 'registry_writes_total{result="not_durable"} 1\n' in service.registry.figures()
+        assert 'registry_writes_total{result="not_durable"} 1.0\n' in service.registry.figures()
         service.files.append = append
         await service.register("s-2")
         assert await service.ids() == ["s-1", "s-2"]
@@ -660,7 +660,7 @@
         await work.round()
         await work.round()
         assert all(record.lifecycle() == "ready" for record in service.store.records.values())
-        assert 'checker_verdicts_total{result="written"} 3\n' in work.figures()
+        assert 'checker_verdicts_total{result="written"} 3.0\n' in work.figures()
         client.close()
 
     with_service(scenario, tmp_path)
@@ -943,7 +943,7 @@
             writer.write(b"GET /ops/stats HTTP/1.1\r\n\r\n")
             figures = (await reader.read()).decode()
             assert (
-                'registry_servers{lifecycle="draining"} 1\n' in figures
+                'registry_servers{lifecycle="draining"} 1.0\n' in figures
                 and "process_cpu_seconds_total" in figures
             )
             writer.close()
--- a/yewstage/__main__.py
+++ b/yewstage/__main__.py
@@ -8,17 +8,19 @@
 import os
 import signal
 import sys
-import time
 from pathlib import Path
 
 import uvloop
 
+from yewstage.log import Event, Several, at, set_up
 from yewstage.net.clients import Names, Server
 from yewstage.net.config import Config, ConfigError, load, reload
 from yewstage.net.core import Core
 from yewstage.net.handover import Handover
 from yewstage.net.ops import Ops
 
+log = logging.getLogger(__name__)
+
 ACCEPT_S = 0.5  # after SIGTERM, connections still come for 0.4 s
 LONGEST_S = 3.0  # SIGKILL comes 0.7 s after the longest deadline, or this if that is less, at the soonest
 LAST_S = 0.4
@@ -29,30 +31,6 @@
 GC_ALLOCATIONS = 20_000
 
 
-class RateLimit(logging.Filter):
-    """Guards the log and the CPU: so many lines a second, then a count of those left out."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self._second, self._lines = 0, 0
-
-    def filter(self, record: logging.LogRecord) -> bool:
-        second = int(time.monotonic())
-        if second != self._second:
-            if self._lines > LINES_PER_S:
-                sys.stderr.write(f"{self._lines - LINES_PER_S} lines left out\n")
-            self._second, self._lines = second, 0
-        self._lines += 1
-        return self._lines <= LINES_PER_S
-
-
-def _set_up_log(name: str) -> None:
-    handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(logging.Formatter(f"%(asctime)s {name} %(levelname)s %(message)s"))
-    handler.addFilter(RateLimit())
-    logging.basicConfig(level=logging.INFO, handlers=[handler])
-
-
 class Succession:
     """What this process shares with one before or after it on the same listening socket."""
 
@@ -63,7 +41,7 @@
     def start(self) -> None:
         """Begin to accept, once a process before us has left that to us."""
         if self._handover is not None and self._handover.start(self._took, self._alone):
-            logging.info("another process serves: waiting for it to hand over")
+            log.info(Event("waiting", "another process serves: waiting for it to hand over"))
             self._core.share(True)
         else:
             self._accept(self._loop.time() + READY_S if self._handover is not None else 0.0)
@@ -89,7 +67,8 @@
             self._handover.stop()
 
     def _took(self, state: dict[str, object] | None) -> None:
-        logging.info("taking over, %s", "with no word" if state is None else "with what was handed over")
+        how = "with no word" if state is None else "with what was handed over"
+        log.info(Event("taking_over", "taking over, {how}", how=how))
         self._core.take_over(state)
         self._accept(self._loop.time() + READY_S)
 
@@ -117,7 +96,7 @@
         """The signal."""
         if self._core.draining:
             return
-        logging.info("draining")
+        log.info(Event("draining", "draining"))
         self._core.draining = True
         longest = max(c.deadline_ms for c in self._core.settings.classes) / 1000
         self._loop.call_later(min(longest, LONGEST_S) + LAST_S, self._end)
@@ -151,11 +130,12 @@
         names = Names(config.settings)
     except ConfigError as error:
         core.stats.invalid += 1
-        logging.error("configuration not taken: %s", error)
+        log.error(Event("configuration_refused", "configuration not taken: {error}", error=str(error)))
         return
     settings = config.settings
-    logging.info("reconfigured: discovery %s, counter %s, classes %s, %d attempts", config.discovery,
-                 config.counter, ", ".join(c.name for c in settings.classes), settings.try_limit)
+    log.info(Event("reconfigured", "reconfigured: discovery {discovery}, counter {counter}, classes "
+                   "{classes:, }, {attempts} attempts", discovery=config.discovery, counter=config.counter,
+                   classes=Several(c.name for c in settings.classes), attempts=settings.try_limit))
     server.retune(names)
     server.resize(config.sockets, config.longest_upload)
     core.reconfigure(config)
@@ -183,19 +163,20 @@
     core.start()
     ops = Ops(loop, core.ready, core.figures, core.stats.descriptors.uses["ops"])
     if config.ops is not None:
-        logging.info("operators' address %s:%d", *await ops.start(config.ops))
-    host, port = server.start(config.listen, config.listen_fd)
+        log.info(at("ops", "operators' address", await ops.start(config.ops)))
+    address = server.start(config.listen, config.listen_fd)
     succession.start()
-    logging.info("connections to hosts: idle for %.0f ms at most, dialled within %.0f ms; %d descriptors",
-                 config.idle_ms, config.dial_ms, config.sockets)
-    logging.info("listening on %s:%d", host, port)
+    log.info(Event("links", "connections to hosts: idle for {idle_ms:.0f} ms at most, dialled within "
+                   "{dial_ms:.0f} ms; {descriptors} descriptors", idle_ms=config.idle_ms,
+                   dial_ms=config.dial_ms, descriptors=config.sockets))
+    log.info(at("listening", "listening on", address))
     gc.freeze()
     gc.set_threshold(GC_ALLOCATIONS)  # requests leave next to no cycles: look for them seldom
     await shutdown.done.wait()
     succession.stop()
     ops.stop()
     core.stop()
-    logging.info("ended: %s", core.farewell())
+    log.info(Event("ended", "ended: {text}", text=core.farewell()))
 
 
 def main() -> int:
@@ -205,7 +186,7 @@
     except ConfigError as error:
         print(error, file=sys.stderr)
         return 2
-    _set_up_log(config.name)
+    set_up(config.name, config.log, {"gateway": config.name}, LINES_PER_S)
     try:
         uvloop.run(serve(config))
     except OSError as error:
--- a/yewstage/checker.py
+++ b/yewstage/checker.py
@@ -17,10 +17,12 @@
 
 import uvloop
 
+from yewstage.log import FORMATS, Event, at, set_up
+from yewstage.metrics import Figures, Metric, count, counts, gauge
 from yewstage.net.config import Address, ConfigError
 from yewstage.net.http1 import Dial, Reply, ReplyProtocol
 from yewstage.net.ops import Ops
-from yewstage.net.stats import Process, Use
+from yewstage.net.stats import Use
 from yewstage.registry.client import Client, Duty, SilentError, Watch
 from yewstage.registry.config import CheckerConfig, checker, read
 
@@ -98,7 +100,7 @@
         self._config, self.watch, self.duty, self._client, self._ask = config, watch, duty, client, ask
         self._rng = rng or random.Random()
         self._findings: dict[str, Finding] = {}
-        self._process = Process()
+        self._figures = Figures(self._collect)
         self.probes, self.written, self.refused = 0, 0, 0
 
     async def run(self) -> None:
@@ -141,15 +143,18 @@
             told = await self._client.call("POST", f"/v1/endpoints/{name}/verdict",
                                            {"well": well, **self.duty.fence()})
         except SilentError as error:
-            log.warning("no verdict on %s could be written: %s", name, error)
+            log.warning(Event("verdict_lost", "no verdict on {server} could be written: {error}", server=name,
+                              error=str(error)))
             return
         if told.status == 200:
             found.told = well
             self.written += 1
-            log.info("%s is %s", name, "well" if well else "not well")
+            log.info(Event("verdict", "{server} is {verdict}", server=name,
+                           verdict="well" if well else "not well"))
         elif told.status in (404, 409):
             self.refused += 1
-            log.warning("verdict on %s refused: %s", name, told.body.get("error"))
+            log.warning(Event("verdict_refused", "verdict on {server} refused: {error}", server=name,
+                              error=told.body.get("error")))
 
     def ready(self) -> bool:
         """Whether the list is known; holding the duty is no condition."""
@@ -157,14 +162,19 @@
 
     def figures(self) -> str:
         """What operators read."""
+        return self._figures.text()
+
+    def _collect(self) -> list[Metric]:
         unwell = sum(found.told is False for found in self._findings.values())
-        values = [("checker_holds_duty", int(self.duty.held())), ("checker_token", self.duty.token),
-                  ("checker_grants_total", self.duty.grants), ("checker_servers", len(self.watch.servers)),
-                  ("checker_unwell", unwell), ("checker_list_age_seconds", round(self.watch.age_s(), 3)),
-                  ("checker_probes_total", self.probes),
-                  ('checker_verdicts_total{result="written"}', self.written),
-                  ('checker_verdicts_total{result="refused"}', self.refused), *self._process.figures()]
-        return "".join(f"{name} {'+Inf' if value == float('inf') else value}\n" for name, value in values)
+        return [gauge("checker_holds_duty", "whether it acts", self.duty.held()),
+                gauge("checker_token", "of the duty as it held it last", self.duty.token),
+                count("checker_grants", "of the duty", self.duty.grants),
+                gauge("checker_servers", "in the list", len(self.watch.servers)),
+                gauge("checker_unwell", "by our word", unwell),
+                gauge("checker_list_age_seconds", "since the list was heard of", self.watch.age_s()),
+                count("checker_probes", "of servers", self.probes),
+                counts("checker_verdicts", "by what came of them", "result",
+                       {"written": self.written, "refused": self.refused})]
 
 
 async def serve(config: CheckerConfig) -> None:
@@ -180,7 +190,7 @@
     over = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, over.set)
-    log.info("operators' address %s:%d", *await ops.start(config.ops))
+    log.info(at("ops", "operators' address", await ops.start(config.ops)))
     tasks = [loop.create_task(part.run()) for part in (watch, duty, work)]
     ending = loop.create_task(over.wait())
     done, _ = await asyncio.wait([*tasks, ending], return_when=asyncio.FIRST_COMPLETED)
@@ -199,13 +209,14 @@
     """0 after SIGTERM; 2 with one plain line if the configuration or the address is no good."""
     parser = argparse.ArgumentParser(prog="python -m yewstage.checker", description=__doc__.splitlines()[0])
     parser.add_argument("--config", required=True, metavar="FILE")
+    parser.add_argument("--log-format", choices=FORMATS, help="goes before the file's `log`")
+    options = parser.parse_args()
     try:
-        config = checker(read(parser.parse_args().config))
+        config = checker(read(options.config))
     except ConfigError as error:
         print(error, file=sys.stderr)
         return 2
-    logging.basicConfig(level=logging.INFO, stream=sys.stderr,
-                        format=f"%(asctime)s {config.name} %(levelname)s %(message)s")
+    set_up(config.name, options.log_format or config.log, {"service": config.name})
     try:
         uvloop.run(serve(config))
     except OSError as error:
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -16,6 +16,7 @@
 import httptools
 
 from yewstage import interface as api
+from yewstage.log import Event
 from yewstage.net.core import Core, Order
 from yewstage.net.http1 import LONGEST_BODY, Upload, narrow
 from yewstage.net.pool import Source
@@ -787,7 +788,8 @@
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
             except OSError as error:
-                log.warning("accept failed: %s", errno.errorcode.get(error.errno, error))
+                log.warning(Event("accept_failed", "accept failed: {error}",
+                                  error=str(errno.errorcode.get(error.errno, error))))
                 self._pause()
                 self.loop.call_later(ACCEPT_PAUSE_S, self._resume)
                 return
@@ -819,13 +821,15 @@
             return
         self._told_at = self.now()
         states = Counter(connection.state() for connection in self.connections)
-        log.warning("no room for more clients: %s", ", ".join(f"{n} {state}" for state, n in states.items()))
+        log.warning(Event("clients_full", "no room for more clients: {text}", **states,
+                          text=", ".join(f"{n} {state}" for state, n in states.items())))
 
     def _accepted(self, task: asyncio.Task) -> None:
         # Until here the connection counted twice, which may have paused the listener with room left.
         self._pending.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            log.warning("a client was gone before it was taken: %s", task.exception())
+            log.warning(Event("client_gone", "a client was gone before it was taken: {error}",
+                              error=str(task.exception())))
         self._resume()
 
     def _sweep(self) -> None:
--- a/yewstage/net/config.py
+++ b/yewstage/net/config.py
@@ -11,12 +11,14 @@
 
 from yewstage import interface as api
 from yewstage import wire
+from yewstage.log import FORMATS
 from yewstage.net.discovery import Listing, parse_listing
 
 Address = tuple[str, int]
 DEFAULT_SOCKETS = 1024
 LEAST_SOCKETS = 64  # leaves a reserve beside clients, hosts, counter, discovery, operators and the loop's own
-STEADY = {"name": "ROUTER_NAME", "listen": "ROUTER_LISTEN", "ops": "ROUTER_OPS"}  # for the process's life
+# For the process's life.
+STEADY = {"name": "ROUTER_NAME", "listen": "ROUTER_LISTEN", "ops": "ROUTER_OPS", "log": "ROUTER_LOG"}
 CALL_SHARE = 0.06  # of the shortest aim: what a call to the counter may take, where its own time is shorter
 # Of connections to servers: what holds if nothing is said, and the least that makes sense.
 LINKS = (("bounds.dial_timeout_ms", 250.0, 1.0), ("bounds.conn_idle_ms", 15000.0, 1.0),
@@ -49,6 +51,7 @@
     idle_ms: float
     memory_mb: float
     longest_upload: int  # bytes
+    log: str  # text or json
 
 
 def load(environ: Mapping[str, str]) -> Config:
@@ -124,7 +127,8 @@
         sockets=_sockets(raw), settings=settings, known=known, keys=keys,
         dial_ms=links["dial_timeout_ms"], idle_ms=links["conn_idle_ms"],
         memory_mb=_limit(raw, "memory_mb", DEFAULT_MEMORY_MB, LEAST_MEMORY_MB),
-        longest_upload=int(_limit(raw, "upload_mb", DEFAULT_UPLOAD_MB, LEAST_UPLOAD_MB) * 2 ** 20))
+        longest_upload=int(_limit(raw, "upload_mb", DEFAULT_UPLOAD_MB, LEAST_UPLOAD_MB) * 2 ** 20),
+        log=_log(raw))
 
 
 def _descriptor(environ: Mapping[str, str]) -> int | None:
@@ -144,6 +148,13 @@
     return host.strip("[]"), int(port)
 
 
+def _log(raw: Mapping[str, object]) -> str:
+    style = raw.get("log", FORMATS[0])
+    if style not in FORMATS:
+        raise ConfigError(f"log: {style!r} is none of {', '.join(FORMATS)}")
+    return style
+
+
 def _check_classes(settings: dict[str, object]) -> None:
     """Classes and attempts must say what they are: a default would promise too much, or be taken for zero."""
     grades = settings.get("grades")
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -13,6 +13,7 @@
 
 from yewstage import interface as api
 from yewstage import wire
+from yewstage.log import Event, Several
 from yewstage.net.budget import Budget
 from yewstage.net.config import Config
 from yewstage.net.counter import Counter
@@ -291,7 +292,8 @@
 
     def _guard(self, request: _Open) -> None:
         # Guards the first rule: whatever the module or a socket does, the client gets its answer in time.
-        log.warning("a request ran to its deadline unanswered: failed by the guard")
+        log.warning(Event("guarded", "a request ran to its deadline unanswered: failed by the guard",
+                          request=request.order.client_id))
         self._give_up(request)
 
     def _give_up(self, request: _Open) -> None:
@@ -338,8 +340,9 @@
                           {s.name for s in listing.servers if s.status == "draining"})
         if listing.servers or kind != "changes":
             states = ", ".join(f"{s.name} {s.status}" for s in listing.servers)
-            log.info("list %d, %s: %s; %d hosts can be dialled", listing.generation, kind, states,
-                     len(self._pool.names()))
+            log.info(Event("list", "list {generation}, {kind}: {states}; {dialled} hosts can be dialled",
+                           generation=listing.generation, kind=kind, states=states,
+                           dialled=len(self._pool.names())))
             self._post(api.ServerList(kind, listing.servers))
 
     def _send(self, act: api.Send) -> None:
@@ -456,7 +459,8 @@
             actions = self._gateway.handle(self._clock.now_ms(), event)
         except Exception:
             # Guards all other requests against one that the module breaks on.
-            log.exception("the module failed on %s", type(event).__name__)
+            log.exception(Event("module_failed", "the module failed on {on}", on=type(event).__name__,
+                                request=getattr(event, "request", getattr(event, "id", ""))))
             if isinstance(event, api.Request):
                 self._answer(self._requests.get(event.id), 500, why="module")
             return
@@ -464,7 +468,8 @@
             try:
                 self._act(act)
             except Exception:
-                log.exception("an action failed: %s", type(act).__name__)
+                log.exception(Event("action_failed", "an action failed: {action}", action=type(act).__name__,
+                                    request=getattr(act, "request", "")))
 
     def _act(self, act: api.Action) -> None:
         match act:
@@ -487,15 +492,19 @@
             case api.Subscribe():
                 pass  # the watch is always on
             case api.Log():
-                log.info("%s", act.text)
+                log.info(Event("decision", "{text}", text=act.text))
 
 
 def _tell_story(request: _Open, status: int, why: str) -> None:
     """A badly ended request in one line: what it was, why it ended so, and each attempt on the way."""
     order, took_ms = request.order, (time.monotonic() - request.taken_at) * 1000
-    log.info("%s %s %s of %s (%g units, %.0f ms left): %d %s after %.0f ms; attempts: %s", order.client_id,
-             order.cls.name, order.plan_name, order.customer, order.units, order.time_left_ms, status, why,
-             took_ms, "; ".join("not sent" if a is None else str(a) for a in request.attempts) or "none")
+    log.info(Event("request",
+                   "{request} {class} {plan} of {customer} ({units:g} units, {left_ms:.0f} ms left): "
+                   "{status} {why} after {took_ms:.0f} ms; attempts: {attempts:; }",
+                   request=order.client_id, **{"class": order.cls.name}, plan=order.plan_name,
+                   customer=order.customer, units=order.units, left_ms=round(order.time_left_ms, 3),
+                   status=status, why=why, took_ms=round(took_ms, 3),
+                   attempts=Several("not sent" if a is None else a for a in request.attempts)))
 
 
 def _report(text: bytes) -> dict[str, float]:
--- a/yewstage/net/discovery.py
+++ b/yewstage/net/discovery.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from yewstage import interface as api
+from yewstage.log import Event
 from yewstage.net.http1 import LONGEST_LIST, TOO_LATE, Dial, Reply, ReplyProtocol
 from yewstage.net.stats import Use
 
@@ -127,7 +128,8 @@
         self._dial = None
         if connection is None:
             if cause == TOO_LATE:
-                log.warning("discovery: cannot be reached, asking again; the list is kept")
+                log.warning(Event("discovery_unreachable",
+                                  "discovery: cannot be reached, asking again; the list is kept"))
             self._retry()
             return
         self._connection = connection
@@ -147,7 +149,7 @@
 
     def _given_up(self) -> None:
         # Guards against an agent that is silent for good: without this the watch would hang on one socket.
-        log.warning("discovery: no answer, asking again; the list is kept")
+        log.warning(Event("discovery_silent", "discovery: no answer, asking again; the list is kept"))
         if self._connection is not None:
             self._connection.drop()
 
@@ -156,7 +158,7 @@
         if connection is not self._connection:
             return  # from an address that was left
         if reply.status == 503:
-            log.warning("discovery: turned away, the list is kept")
+            log.warning(Event("discovery_turned_away", "discovery: turned away, the list is kept"))
             connection.drop()
             return
         try:
@@ -166,7 +168,8 @@
             if not listing.whole and (self._generation is None or listing.generation < self._generation):
                 raise ValueError("changes to a list that was never sent")
         except ValueError as error:
-            log.warning("discovery: bad answer, the list is kept: %s", error)
+            log.warning(Event("discovery_bad_answer", "discovery: bad answer, the list is kept: {error}",
+                              error=str(error)))
             self._generation = None  # whatever was missed comes with the whole list
             connection.drop()
             return
--- a/yewstage/net/handover.py
+++ b/yewstage/net/handover.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from yewstage.log import Event
+
 log = logging.getLogger(__name__)
 
 POLL_S = 0.02  # how soon the new process goes on once the old one has stopped accepting
@@ -41,7 +43,8 @@
         """
         if self._lock(SERVING):
             if SERVING not in self._locks:
-                log.warning("no locks in %s: nothing can be handed over", self._folder)
+                log.warning(Event("no_handover", "no locks in {folder}: nothing can be handed over",
+                                  folder=str(self._folder)))
             (self._folder / STATE).unlink(missing_ok=True)
             return False
         self._took, self._alone = took, alone
@@ -69,7 +72,7 @@
             part.write_text(json.dumps({"name": self._name, "at_ms": time.time() * 1000, "state": state}))
             part.rename(path)
         except (OSError, ValueError) as error:
-            log.error("nothing handed over: %s", error)
+            log.error(Event("handover_failed", "nothing handed over: {error}", error=str(error)))
 
     def _poll(self) -> None:
         self._lock(WAITING)  # again and again: the other one holds it for the instant in which it looks
@@ -93,7 +96,8 @@
         except FileNotFoundError:
             return None
         except (OSError, ValueError, RecursionError) as error:
-            log.warning("the state handed over cannot be read: %s", error)
+            log.warning(Event("handover_unreadable", "the state handed over cannot be read: {error}",
+                              error=str(error)))
             return None
         if not isinstance(raw, dict) or raw.get("name") != self._name:
             return None
--- a/yewstage/net/hosts.py
+++ b/yewstage/net/hosts.py
@@ -53,6 +53,11 @@
         self.idle_s: float | None = None
         self.result, self.took_s, self.cause = "out", 0.0, ""
 
+    def fields(self) -> dict[str, object]:
+        """For the log: `idle_ms` None is a new connection."""
+        return {"server": self.server, "result": self.result, "took_ms": round(self.took_s * 1000, 3),
+                "idle_ms": None if self.idle_s is None else round(self.idle_s * 1000, 3), "cause": self.cause}
+
     def __str__(self) -> str:
         line = "new connection" if self.idle_s is None else f"idle for {self.idle_s * 1000:.0f} ms"
         cause = f": {self.cause}" if self.cause else ""
--- a/yewstage/registry/__main__.py
+++ b/yewstage/registry/__main__.py
@@ -12,6 +12,7 @@
 
 import uvloop
 
+from yewstage.log import FORMATS, Event, at, set_up
 from yewstage.net.config import ConfigError
 from yewstage.net.ops import Ops
 from yewstage.registry.config import Config, read, service
@@ -41,34 +42,37 @@
     loop = asyncio.get_running_loop()
     store = load(config, files, loop.time() * 1000, time.time() * 1000)
     if files.cut:
-        log.warning("a torn last entry of %d bytes was cut off: nobody was told of it", files.cut)
+        log.warning(Event("torn_entry", "a torn last entry of {bytes} bytes was cut off: nobody was told "
+                          "of it", bytes=files.cut))
     registry = Registry(config, store, files, loop, random.Random())
     ops = Ops(loop, registry.ready, registry.figures)
     over = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, over.set)
-    log.info("operators' address %s:%d", *await ops.start(config.ops))
-    host, port = await registry.start()
-    log.info("revision %d, %d servers, %d entries read", store.revision, len(store.records), files.entries)
-    log.info("listening on %s:%d", host, port)
+    log.info(at("ops", "operators' address", await ops.start(config.ops)))
+    address = await registry.start()
+    log.info(Event("restored", "revision {revision}, {servers} servers, {entries} entries read",
+                   revision=store.revision, servers=len(store.records), entries=files.entries))
+    log.info(at("listening", "listening on", address))
     await over.wait()
     ops.stop()
     await registry.stop()
-    log.info("ended")
+    log.info(Event("ended", "ended"))
 
 
 def main() -> int:
     """0 after SIGTERM; 2 with one plain line if the configuration, the files or an address are no good."""
     parser = argparse.ArgumentParser(prog="python -m yewstage.registry", description=__doc__)
     parser.add_argument("--config", required=True, metavar="FILE")
+    parser.add_argument("--log-format", choices=FORMATS, help="goes before the file's `log`")
+    options = parser.parse_args()
     try:
-        config = service(read(parser.parse_args().config))
+        config = service(read(options.config))
         files = Log(config.folder)
     except (ConfigError, LogError) as error:
         print(error, file=sys.stderr)
         return 2
-    logging.basicConfig(level=logging.INFO, stream=sys.stderr,
-                        format="%(asctime)s registry %(levelname)s %(message)s")
+    set_up("registry", options.log_format or config.log, {"service": "registry"})
     try:
         uvloop.run(serve(config, files))
     except LogError as error:
--- a/yewstage/registry/client.py
+++ b/yewstage/registry/client.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 
 from yewstage import interface as api
+from yewstage.log import Event
 from yewstage.net.config import Address
 from yewstage.net.discovery import Listing, parse_listing
 from yewstage.net.http1 import LONGEST_LIST, Dial, Reply, ReplyProtocol
@@ -220,7 +221,7 @@
 
     def _doubt(self, why: str, rest_s: float) -> float:
         if why != self.doubt:
-            log.warning("the list is kept, %s", why)
+            log.warning(Event("list_kept", "the list is kept, {why}", why=why))
         self.doubt = why
         return rest_s
 
@@ -277,7 +278,7 @@
             return max(told.retry_after_s, self._ttl_ms / 3000 * self._client.between(0.5, 1.0))
         if token != self.token:
             self.token, self.grants = token, self.grants + 1
-            log.info("%s is ours, token %d", self.name, token)
+            log.info(Event("duty_held", "{duty} is ours, token {token}", duty=self.name, token=token))
         self._until = sent_at + self._ttl_ms / 1000 * (1 - self._drift)
         return self._ttl_ms / 3000
 
@@ -288,4 +289,5 @@
             await self._client.call("DELETE", f"/v1/leases/{self.name}",
                                     {"holder": self._holder, "token": self.token})
         except SilentError as error:
-            log.warning("%s could not be given up: %s", self.name, error)
+            log.warning(Event("duty_kept", "{duty} could not be given up: {error}", duty=self.name,
+                              error=str(error)))
--- a/yewstage/registry/config.py
+++ b/yewstage/registry/config.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from yewstage.log import FORMATS
 from yewstage.net.config import Address, ConfigError, address
 from yewstage.registry.store import Rules
 
@@ -30,6 +31,7 @@
     settle_ms: float  # how long a store that begins empty waits for its servers before it tells a list
     snapshot_entries: int  # of the log, after which a snapshot takes their place
     rules: Rules
+    log: str  # text or json
 
 
 @dataclass(slots=True, frozen=True)
@@ -45,6 +47,7 @@
     passes: int  # in a row, after which it is again
     ttl_ms: float  # of the duty's lease
     drift: float
+    log: str  # text or json
 
 
 def read(path: str) -> dict[str, object]:
@@ -71,7 +74,8 @@
         rules=Rules(history=fields.whole("history", 10000, 1),
                     most_gone=fields.number("most_gone", 0.5, 0.0, 1.0),
                     most_unwell=fields.number("most_unwell", 0.5, 0.0, 1.0),
-                    drift=fields.number("drift", 0.01, 0.0, 0.5)))
+                    drift=fields.number("drift", 0.01, 0.0, 0.5)),
+        log=fields.choice("log", FORMATS))
     fields.done()
     if config.least_ttl_ms > config.most_ttl_ms:
         raise ConfigError("least_ttl_ms: is above most_ttl_ms")
@@ -93,7 +97,7 @@
         ops=fields.address("ops"), rate_per_s=fields.number("rate_per_s", 5.0, 0.001),
         timeout_ms=fields.number("timeout_ms", 1000.0, 1.0), fails=fields.whole("fails", 3, 1),
         passes=fields.whole("passes", 2, 1), ttl_ms=fields.number("ttl_ms", 5000.0, 100.0),
-        drift=fields.number("drift", 0.01, 0.0, 0.5))
+        drift=fields.number("drift", 0.01, 0.0, 0.5), log=fields.choice("log", FORMATS))
     fields.done("probing", "registry")
     return config
 
@@ -142,6 +146,13 @@
             raise ConfigError(f"{name}: must be a whole number from {least} to {most}")
         return value
 
+    def choice(self, name: str, choices: tuple[str, ...]) -> str:
+        """One of some words; the first where it is left out."""
+        value = self._take(name, choices[0])
+        if value not in choices:
+            raise ConfigError(f"{name}: must be one of {', '.join(choices)}")
+        return value
+
     def flag(self, name: str) -> bool:
         """True or false."""
         value = self._take(name, None)
--- a/yewstage/registry/server.py
+++ b/yewstage/registry/server.py
@@ -10,9 +10,10 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
+from yewstage.log import Event
+from yewstage.metrics import Figures, Metric, count, counts, gauge, gauges
 from yewstage.net.config import ConfigError
 from yewstage.net.serve import Answer, Call, Caller, Listener, Manners
-from yewstage.net.stats import Process
 from yewstage.registry.config import NAME, Config, Fields
 from yewstage.registry.log import FullError, Log
 from yewstage.registry.store import GONE, READY, Entry, Record, RefusedError, Store
@@ -56,7 +57,7 @@
         self._heard = bool(store.records)  # of a server, in this life or before
         self._settled_at = loop.time() + (0.0 if self._heard else config.settle_ms / 1000)
         self._told_at = -TOLD_S
-        self._process = Process()
+        self._figures = Figures(self._collect)
         self.writes, self.refused, self.failed, self.renewals, self.expired = 0, 0, 0, 0, 0
         self.turned_away = self.turned_away_early = self.changes_told = 0
 
@@ -189,11 +190,11 @@
             self.refused += 1
             caller.answer(failed(error.status, error.why, error.field))
         except FullError as error:
-            log.error("a write could not be made durable: %s", error)
+            log.error(Event("not_durable", "a write could not be made durable: {error}", error=str(error)))
             self.failed += 1
             caller.answer(self._later(f"writes are refused: {error}"))
         except Exception:
-            log.exception("a write failed")
+            log.exception(Event("write_failed", "a write failed"))
             caller.answer(failed(500, "the service failed"))
 
     async def _bring_about(self, plan: Callable[[], Entry | None]) -> bool:
@@ -217,7 +218,7 @@
         try:
             await self._loop.run_in_executor(self._disk, self.files.compact, self.store.snapshot())
         except FullError as error:
-            log.error("no snapshot: %s; the log goes on", error)
+            log.error(Event("no_snapshot", "no snapshot: {error}; the log goes on", error=str(error)))
 
     async def _expire(self) -> None:
         """Let servers go whose time is up, as long as it is not most of them."""
@@ -226,15 +227,17 @@
             late = self.store.overdue(self.now())
             if self.store.held_back and self._loop.time() - self._told_at >= TOLD_S:
                 self._told_at = self._loop.time()
-                log.warning("%d of %d servers are silent: likelier it is we who hear nothing; all are kept",
-                            self.store.held_back, len(self.store.records))
+                log.warning(Event("held_back", "{silent} of {servers} servers are silent: likelier it is "
+                                  "we who hear nothing; all are kept", silent=self.store.held_back,
+                                  servers=len(self.store.records)))
             for name in late:
                 try:
                     if await self._bring_about(lambda name=name: self.store.plan_expire(name, self.now())):
                         self.expired += 1
-                        log.info("%s has not renewed in time", name)
+                        log.info(Event("expired", "{server} has not renewed in time", server=name))
                 except FullError as error:
-                    log.error("%s could not be let go: %s", name, error)
+                    log.error(Event("not_expired", "{server} could not be let go: {error}", server=name,
+                                    error=str(error)))
                     break
 
     def _spawn(self, work: object) -> None:
@@ -357,28 +360,32 @@
 
     def figures(self) -> str:
         """What operators read."""
+        return self._figures.text()
+
+    def _collect(self) -> list[Metric]:
         records = self.store.records.values()
         out = sum(record.lifecycle() != READY for record in records)
         now = self.now()
-        values = [
-            ("registry_revision", self.store.revision), ("registry_ready", int(self.ready())),
-            ('registry_servers{lifecycle="ready"}', len(records) - out),
-            ('registry_servers{lifecycle="draining"}', out),
-            ("registry_held_back", self.store.held_back),
-            ("registry_leases_held", sum(self.store.holder(n, now) is not None for n in self.store.leases)),
-            ("registry_connections", len(self.listener.callers)), ("registry_watches", len(self._watches)),
-            ("registry_changes_told_total", self.changes_told),
-            ('registry_turned_away_total{reason="too_many"}', self.turned_away),
-            ('registry_turned_away_total{reason="not_ready"}', self.turned_away_early),
-            ("registry_dropped_total", self.listener.dropped),
-            ('registry_writes_total{result="done"}', self.writes),
-            ('registry_writes_total{result="refused"}', self.refused),
-            ('registry_writes_total{result="not_durable"}', self.failed),
-            ("registry_renewals_total", self.renewals), ("registry_expired_total", self.expired),
-            ("registry_log_entries", self.files.entries),
-            ("registry_log_broken", int(bool(self.files.broken))),
-            *self._process.figures()]
-        return "".join(f"{name} {value}\n" for name, value in values)
+        held = sum(self.store.holder(name, now) is not None for name in self.store.leases)
+        return [
+            gauge("registry_revision", "of the list", self.store.revision),
+            gauge("registry_ready", "whether it tells a list", self.ready()),
+            gauges("registry_servers", "in the list", "lifecycle",
+                   {"ready": len(records) - out, "draining": out}),
+            gauge("registry_held_back", "servers past their time that are kept", self.store.held_back),
+            gauge("registry_leases_held", "duties that somebody holds", held),
+            gauge("registry_connections", "open", len(self.listener.callers)),
+            gauge("registry_watches", "held", len(self._watches)),
+            count("registry_changes_told", "answers to watches that had waited", self.changes_told),
+            counts("registry_turned_away", "calls answered 503", "reason",
+                   {"too_many": self.turned_away, "not_ready": self.turned_away_early}),
+            count("registry_dropped", "peers that were slow, silent or in the way", self.listener.dropped),
+            counts("registry_writes", "by what came of them", "result",
+                   {"done": self.writes, "refused": self.refused, "not_durable": self.failed}),
+            count("registry_renewals", "of servers and leases", self.renewals),
+            count("registry_expired", "servers let go for their silence", self.expired),
+            gauge("registry_log_entries", "since the last snapshot", self.files.entries),
+            gauge("registry_log_broken", "whether the log takes no more", bool(self.files.broken))]
 
 
 def _row(name: str, record: Record | None) -> dict[str, object]:
