Emulate the project's own list service, aim the load at gateways that are up, show figures

The list service, its checkers and its duties could not be watched at work. A scenario with listing.source registry starts them in place of the agents; servers register, renew, drain and leave by its calls.

--- a/plumwall/cli/play.py
+++ b/plumwall/cli/play.py
@@ -5,7 +5,8 @@
 import asyncio
 import signal
 import time
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Iterator, Sequence
+from contextlib import contextmanager
 from pathlib import Path
 
 import click
@@ -25,9 +26,12 @@
     table,
 )
 from plumwall.cli.scenario import found
+from plumwall.cli.service import log_format
 from plumwall.emulator.fleet import StartError
+from plumwall.emulator.metrics import Exporter
 from plumwall.emulator.run import DEPLOY, Look, Options, Outcome, Run
-from yewstage.net.config import ConfigError, address
+from yewstage.log import TEXT
+from yewstage.net.config import Address, ConfigError, address
 
 RATE_OF_A_WORKER = 3000.0  # first tries a second that one process of clients or servers carries with ease
 SHOWN = 10  # findings on the screen; the rest is in the run's folder
@@ -114,6 +118,32 @@
     return f"{figures['gateway_pressure']:.2f}, lets in {figures['gateway_admitted_share']:.0%}"
 
 
+def _metrics(context: click.Context, parameter: click.Parameter, value: str | None) -> Address | None:
+    return _address("--metrics", value) if value else None
+
+
+def _address(option: str, value: str) -> Address:
+    try:
+        return address({option: value}, option)
+    except ConfigError as error:
+        raise BadFileError(str(error)) from None
+
+
+@contextmanager
+def _exporter(at: Address | None, screen: Screen) -> Iterator[Exporter]:
+    """Figures for Prometheus for as long as a run lasts."""
+    exporter = Exporter()
+    if at is not None:
+        try:
+            screen.say(f"figures at http://{at[0]}:{exporter.serve(at)}/metrics")
+        except OSError as error:
+            raise WorkFailedError(f"--metrics: {error}") from None
+    try:
+        yield exporter
+    finally:
+        exporter.close()
+
+
 def _shared(command: Callable) -> Callable:
     """Options of both commands."""
     for option in (
@@ -143,6 +173,12 @@
         ),
         click.option("--workers", type=click.IntRange(1, 64), help="Processes of clients, and of servers."),
         click.option("--json", "json_", is_flag=True, help="Print the outcome as JSON."),
+        click.option(
+            "--metrics",
+            metavar="HOST:PORT",
+            callback=_metrics,
+            help="Answer Prometheus there while the run goes on.",
+        ),
     ):
         command = option(command)
     return command
@@ -215,6 +251,7 @@
     help="The deploy file whose `run` starts a gateway.",
     show_default="the project's own",
 )
+@log_format
 @click.option("--no-load", is_flag=True, help="Only the world and its gateways, until Ctrl-C.")
 def up(
     name: str,
@@ -226,9 +263,11 @@
     folder: Path | None,
     workers: int | None,
     json_: bool,
+    metrics: Address | None,
     gateways: int | None,
     servers: int | None,
     deploy: Path,
+    log_format: str | None,
     no_load: bool,
 ) -> None:
     """Play a SCENARIO: servers, counter, lists, customers and faults round real gateways, then judge the run.
@@ -245,18 +284,20 @@
     made = _changed(found(name), rate, length, to_rate, burst, gateways, servers)
     count = workers or max(1, round(max(made.load.rate_per_s, made.load.to_per_s) / RATE_OF_A_WORKER))
     run_folder = _folder(folder, made.name, seed)
-    with Screen(f"{made.name}, seed {seed}", json_) as screen:
+    with Screen(f"{made.name}, seed {seed}", json_) as screen, _exporter(metrics, screen) as exporter:
         run = Run(
             Options(
                 scenario=made,
                 seed=seed,
                 folder=run_folder,
                 deploy=deploy,
-                client_workers=count,
+                log_format=log_format or TEXT,
+                client_workers=0 if no_load else count,
                 host_workers=(count + 1) // 2,
             ),
             screen.say,
             screen.look,
+            exporter,
         )
         outcome = _play(lambda: _hold(run, screen) if no_load else run.play())
     if no_load:
@@ -283,10 +324,7 @@
 
 
 def _gateways(context: click.Context, parameter: click.Parameter, value: str) -> list[str]:
-    try:
-        return ["{}:{}".format(*address({"--at": at}, "--at")) for at in value.split(",")]
-    except ConfigError as error:
-        raise BadFileError(str(error)) from None
+    return ["{}:{}".format(*_address("--at", at)) for at in value.split(",")]
 
 
 @click.command()
@@ -314,6 +352,7 @@
     folder: Path | None,
     workers: int | None,
     json_: bool,
+    metrics: Address | None,
     at: list[str],
     name: str,
 ) -> None:
@@ -331,11 +370,12 @@
     made = _changed(found(name), rate, length, to_rate, burst, gateways=len(at))
     count = workers or max(1, round(max(made.load.rate_per_s, made.load.to_per_s) / RATE_OF_A_WORKER))
     run_folder = _folder(folder, f"load-{made.name}", seed)
-    with Screen(f"load of {made.name}, seed {seed}", json_) as screen:
+    with Screen(f"load of {made.name}, seed {seed}", json_) as screen, _exporter(metrics, screen) as exporter:
         run = Run(
             Options(scenario=made, seed=seed, folder=run_folder, client_workers=count, gateways=at),
             screen.say,
             screen.look,
+            exporter,
         )
         outcome = _play(run.play)
     _report(outcome, json_)
@@ -387,10 +427,11 @@
     )
     plans = ", ".join(f"{name} {value:.3f}" for name, value in service.plans.items())
     classes = ", ".join(f"{name} {value:.3f}" for name, value in service.classes.items())
+    losses = ", ".join(f"{name} {value:.4f}" for name, value in service.losses.items() if value >= 0.00005)
     prices = ", ".join(f"{name} {value:.4f}" for name, value in service.prices.items() if value >= 0.00005)
     out.print(
-        f"  plans: {plans}\n  classes: {classes}\n  prices: {prices or 'none'}\n"
-        f"  figure {service.figure:.3f}",
+        f"  lost: {losses or 'nothing'}\n  plans: {plans}\n  classes: {classes}\n"
+        f"  prices: {prices or 'none'}\n  figure {service.figure:.3f}",
         markup=False,
     )
     counts = ", ".join(f"{value:g} {name.replace('_', ' ')}" for name, value in verdict.counts.items())
--- a/plumwall/emulator/backing.py
+++ b/plumwall/emulator/backing.py
@@ -75,12 +75,12 @@
                 if not self.model.down:
                     self.doors[name].speak_again()
 
-    def move(self, gateway: GatewaySpec) -> Door:
+    def move(self, gateway: GatewaySpec) -> None:
         """Another address for a gateway; the old one takes nobody new and ends a little later."""
         old, self.doors[gateway.name] = self.doors[gateway.name], self._door(gateway)
         self.doors[gateway.name].open()
+        old.take_no_more()
         self._loop.call_later(MOVE_S, old.close)
-        return self.doors[gateway.name]
 
     def close(self) -> None:
         """The end of it."""
@@ -145,12 +145,12 @@
             timer.cancel()
             self._answer(slot, after)
 
-    def move(self) -> str:
+    def move(self) -> None:
         """Another address; the old one serves on for a little while."""
         old, self.door = self.door, self._door()
         self.door.open()
+        old.take_no_more()
         self._loop.call_later(MOVE_S, old.close)
-        return self.door.address
 
     def close(self) -> None:
         """The end of it."""
@@ -241,22 +241,27 @@
     def begin(self, addresses: Mapping[str, Mapping[str, str]]) -> dict[str, dict[str, str]]:
         """Serve; by gateway the addresses of its counter and its agent."""
         self.counter.open()
-        for gateway in self._drawn.gateways:
-            agent = Agent(gateway.name, addresses[gateway.name])
-            for server in self._drawn.servers:
-                if server.at_start:
-                    agent.learn(Entry(server, READY, 0.0))
-            desk = AgentDesk(agent, self._loop, self._address(gateway), self._write, self.now)
-            desk.door.open()
-            self.agents[gateway.name] = desk
-            self._keep_known(gateway.name)
-        return {
-            g.name: {
-                "counter": self.counter.doors[g.name].address,
-                "discovery": self.agents[g.name].door.address,
-            }
-            for g in self._drawn.gateways
-        }
+        if self._drawn.scenario.listing.source == "agent":
+            for gateway in self._drawn.gateways:
+                self._start_agent(gateway, addresses[gateway.name])
+        return {g.name: self._addresses(g.name) for g in self._drawn.gateways}
+
+    def _start_agent(self, gateway: GatewaySpec, addresses: Mapping[str, str]) -> None:
+        agent = Agent(gateway.name, addresses)
+        for server in self._drawn.servers:
+            if server.at_start:
+                agent.learn(Entry(server, READY, 0.0))
+        desk = AgentDesk(agent, self._loop, self._address(gateway), self._write, self.now)
+        desk.door.open()
+        self.agents[gateway.name] = desk
+        self._keep_known(gateway.name)
+
+    def _addresses(self, gateway: str) -> dict[str, str]:
+        """Where a gateway finds its counter and its agent, if it has one."""
+        told = {"counter": self.counter.doors[gateway].address}
+        if gateway in self.agents:
+            told["discovery"] = self.agents[gateway].door.address
+        return told
 
     def go(self, t0: float) -> None:
         """The load begins at a time."""
@@ -281,7 +286,10 @@
     def move(self, gateway: str) -> dict[str, str]:
         """Other addresses for a gateway, as a new configuration will tell it."""
         spec = next(g for g in self._drawn.gateways if g.name == gateway)
-        return {"counter": self.counter.move(spec).address, "discovery": self.agents[gateway].move()}
+        self.counter.move(spec)
+        if gateway in self.agents:
+            self.agents[gateway].move()
+        return self._addresses(gateway)
 
     def close(self) -> None:
         """The run is over."""
@@ -300,6 +308,8 @@
 
     def _keep_known(self, gateway: str) -> None:
         """The list as the gateway had it last, for its next start."""
+        if gateway not in self.agents:
+            return
         path = self._folder / f"known-{gateway}.json"
         part = path.with_suffix(".part")
         part.write_bytes(msgspec.json.encode(self.agents[gateway].agent.listing()))
--- a/plumwall/emulator/clients.py
+++ b/plumwall/emulator/clients.py
@@ -390,8 +390,7 @@
         if pending.timer is not None:
             pending.timer.cancel()
         now = self.now()
-        if how != r.UNTOLD:
-            self._write(r.Answered(now, pending.id, pending.gateway, how, status))
+        self._write(r.Answered(now, pending.id, pending.gateway, how, status))
         self.tally.ended(pending, how, status, now)
         if not pending.late and how != r.LEFT and not (how == r.WHOLE and status == 200):
             self._retry(pending, retry_s * 1000, refused=status in (429, 503) or how in (r.REFUSED, r.UNTOLD))
--- a/plumwall/emulator/door.py
+++ b/plumwall/emulator/door.py
@@ -206,6 +206,10 @@
         for line in list(self.lines):
             line.mute(False)
 
+    def take_no_more(self) -> None:
+        """Refuse from now on; what is open goes on."""
+        self._drop()
+
     def close(self) -> None:
         """The end of it."""
         self._drop()
--- a/plumwall/emulator/fleet.py
+++ b/plumwall/emulator/fleet.py
@@ -57,8 +57,10 @@
         folder: Path,
         host: str,
         state: Callable[[str, str, str], None],
+        log_format: str,
     ) -> None:
         self.spec, self._drawn, self._root, self._command, self._folder = spec, drawn, root, command, folder
+        self._log_format = log_format
         self._state = state  # told of (name, state, why)
         self.listen = f"{host}:{free_port(host)}"
         self.ops = f"{host}:{free_port(host)}"
@@ -72,7 +74,8 @@
 
     def configure(self, addresses: Mapping[str, str]) -> None:
         """Where its counter and its discovery are."""
-        self.counter, self.discovery = addresses["counter"], addresses["discovery"]
+        self.counter = addresses["counter"]
+        self.discovery = addresses.get("discovery", self.discovery)
         self._write()
 
     async def start(self) -> None:
@@ -205,6 +208,7 @@
             "counter": self.counter,
             "seed": f"{seed:016x}",
             "limits": {"cores": 1.0, "memory_mb": fleet.memory_mb, "sockets": fleet.sockets},
+            "log": self._log_format,
             "known": listing,
             "settings": self._drawn.settings(self.spec),
         }
--- a/plumwall/emulator/hosts.py
+++ b/plumwall/emulator/hosts.py
@@ -13,8 +13,10 @@
 from plumwall import records as r
 from plumwall.emulator.door import Door, Incoming, Slot, respond
 from plumwall.emulator.identity import gateway_of
+from plumwall.emulator.registrar import Registrar
 from plumwall.world.drawn import Change, Drawn, GatewaySpec, ServerSpec
 from plumwall.world.server import ERROR, SERVED, Job, Pod, Server
+from yewstage.net.config import Address
 
 IDLE_LOOK_S = 1.0
 LEAST_DELAY_MS = 1.0  # the loop's timers know no less: a shorter way is none
@@ -35,19 +37,42 @@
         self.model: Server | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._open: dict[Slot, Job] = {}
-        self.doors = {
+        self.doors = self._shared_door(run, gateways) if run.shared else self._own_doors(run, gateways)
+        self._ways = {g.name: run.way_ms(g, spec) for g in gateways}
+        self._cut: frozenset[str] = frozenset()
+
+    def _own_doors(self, run: HostsOf, gateways: Sequence[GatewaySpec]) -> dict[str, Door]:
+        """An address for each gateway: whose call it is, is known before it says a word."""
+        return {
             g.name: Door(
                 run.loop,
                 run.address(g),
-                self._asker(g),
-                self._dialled_by(g),
+                self._asker(g.name),
+                self._dialled_by(g.name),
                 self._gone,
-                self._nonsense_of(g),
+                self._nonsense_of(g.name),
             )
             for g in gateways
         }
-        self._ways = {g.name: run.way_ms(g, spec) for g in gateways}
-        self._cut: frozenset[str] = frozenset()
+
+    def _shared_door(self, run: HostsOf, gateways: Sequence[GatewaySpec]) -> dict[str, Door]:
+        """One address for all, as a list that all share tells it: the request's id says whose it is."""
+        door = Door(
+            run.loop,
+            run.address(gateways[0]),
+            self._asked_by_any,
+            gone=self._gone,
+            nonsense=self._nonsense_of(""),
+        )
+        return {g.name: door for g in gateways}
+
+    def _asked_by_any(self, slot: Slot) -> None:
+        number = gateway_of(slot.message.headers.get(b"x-request-id", b"").decode("latin-1"))
+        gateways = self._run.drawn.gateways
+        gateway = gateways[number].name if number is not None and number < len(gateways) else ""
+        if slot.fresh and gateway:
+            self._run.write(r.Dialled(self._run.now(), gateway, self.spec.name))
+        self._asked(slot, gateway)
 
     # --- What becomes of it -------------------------------------------------------------------------------
 
@@ -58,7 +83,7 @@
         self.model = Server(
             self.spec, self._pod, self._rng, self._run.now(), cold, rules.fall_multiple, rules.fall_ms
         )
-        for door in self.doors.values():
+        for door in set(self.doors.values()):
             door.refuse()
             door.open()
         self.cut(self._cut, True)
@@ -68,17 +93,21 @@
     def crash(self, state: str = "crashed") -> None:
         """The process ends: connections are reset, new ones refused."""
         self._end()
-        for door in self.doors.values():
+        for door in set(self.doors.values()):
             door.refuse()
         self._run.write(r.ServerIs(self._run.now(), self.spec.name, state))
 
     def vanish(self) -> None:
         """The machine is gone without a sign."""
-        for door in self.doors.values():
+        for door in set(self.doors.values()):
             door.keep_silent()
         self._end("silent")
         self._run.write(r.ServerIs(self._run.now(), self.spec.name, "silent"))
 
+    def address(self) -> str:
+        """Where it is reached by all, if all share one address."""
+        return next(iter(self.doors.values())).address
+
     def drain(self) -> None:
         """It finishes what it holds."""
         if self.model is not None:
@@ -98,14 +127,14 @@
 
     def close_idle(self, before: float) -> None:
         """Idle connections end after a while."""
-        for door in self.doors.values():
+        for door in set(self.doors.values()):
             if not door.silent:
                 door.close_idle(before)
 
     def stop(self) -> None:
         """The run is over."""
         self._end()
-        for door in self.doors.values():
+        for door in set(self.doors.values()):
             door.close()
 
     def _end(self, result: str = "reset") -> None:
@@ -119,15 +148,15 @@
 
     # --- Requests -----------------------------------------------------------------------------------------
 
-    def _asker(self, gateway: GatewaySpec) -> Callable[[Slot], None]:
-        return lambda slot: self._asked(slot, gateway.name)
+    def _asker(self, gateway: str) -> Callable[[Slot], None]:
+        return lambda slot: self._asked(slot, gateway)
 
-    def _dialled_by(self, gateway: GatewaySpec) -> Callable[[Incoming], None]:
-        return lambda line: self._run.write(r.Dialled(self._run.now(), gateway.name, self.spec.name))
+    def _dialled_by(self, gateway: str) -> Callable[[Incoming], None]:
+        return lambda line: self._run.write(r.Dialled(self._run.now(), gateway, self.spec.name))
 
-    def _nonsense_of(self, gateway: GatewaySpec) -> Callable[[Incoming, bytes], None]:
+    def _nonsense_of(self, gateway: str) -> Callable[[Incoming, bytes], None]:
         return lambda line, data: self._run.write(
-            r.Unknown(self._run.now(), self.spec.name, gateway.name, f"sent what is no request: {data!r}")
+            r.Unknown(self._run.now(), self.spec.name, gateway, f"sent what is no request: {data!r}")
         )
 
     def _asked(self, slot: Slot, gateway: str) -> None:
@@ -152,7 +181,7 @@
             self._run.write(r.Unknown(now, self.spec.name, gateway, f"an id that no client made: {rid[:64]}"))
         self._open[slot] = job
         job.done = (slot, gateway)
-        connections = sum(len(door.lines) for door in self.doors.values())
+        connections = sum(len(door.lines) for door in set(self.doors.values()))
         was_standing = not model.fallen
         if connections > self.spec.connections:
             result = "full"
@@ -199,7 +228,7 @@
         slot, gateway = job.done
         if slot not in self._open:
             return  # its connection has gone: nobody is told
-        delay = self._ways[gateway]
+        delay = self._ways.get(gateway, 0.0)
         if delay >= LEAST_DELAY_MS:
             self._run.loop.call_later(delay / 1000, self._tell, slot, job)
         else:
@@ -260,6 +289,8 @@
         address: Callable[[GatewaySpec], str],
     ) -> None:
         self.drawn, self.loop, self.write, self.address = drawn, loop, write, address
+        self.shared = drawn.scenario.listing.source == "registry"
+        self._registrar: Registrar | None = None
         self.t0 = 0.0  # when the load begins, milliseconds
         self.windows = {c.name: c.window_ms for c in drawn.scenario.classes}
         self._units = [first.units for first in drawn.tries]
@@ -305,6 +336,13 @@
                 host.start(cold=False)
         self.loop.call_later(IDLE_LOOK_S, self._close_idle)
 
+    async def register(self, at: Address) -> int:
+        """Register all that are there at the start with the list service; how many they are."""
+        self._registrar = Registrar(at, [g.name for g in self.drawn.gateways], self.write, self.now)
+        here = [(host.spec, host.address()) for host in self.hosts.values() if host.spec.at_start]
+        await self._registrar.register_all(here)
+        return len(here)
+
     def addresses(self) -> dict[str, dict[str, str]]:
         """By gateway, where it reaches each server."""
         return {
@@ -326,12 +364,27 @@
                 host.cut(cut, change.kind == "zone_cut")
         elif change.target in self.hosts:
             self._change_host(self.hosts[change.target], change)
+            if self._registrar is not None:
+                self._tell_list(self.hosts[change.target], change.kind)
 
     def stop(self) -> None:
         """The run is over."""
+        if self._registrar is not None:
+            self._registrar.close()
         for host in self.hosts.values():
             host.stop()
 
+    def _tell_list(self, host: Host, kind: str) -> None:
+        """What a server's own words, or its silence, tell the list service."""
+        if kind == "server_start":
+            self._registrar.started(host.spec, host.address())
+        elif kind in ("server_crash", "server_silent"):
+            self._registrar.died(host.spec.name)
+        elif kind == "server_drain":
+            self._registrar.drains(host.spec.name)
+        elif kind == "server_stop":
+            self._registrar.left(host.spec.name)
+
     def _change_host(self, host: Host, change: Change) -> None:
         if change.kind == "server_crash":
             host.crash()
--- a/plumwall/emulator/run.py
+++ b/plumwall/emulator/run.py
@@ -16,6 +16,8 @@
 from plumwall import records as r
 from plumwall import scenario as scenarios
 from plumwall.emulator.fleet import Gateway, StartError, run_command
+from plumwall.emulator.listservice import ListService
+from plumwall.emulator.metrics import Exporter
 from plumwall.emulator.process import Lines, raise_descriptors, spawn
 from plumwall.emulator.tally import Row, Second, Tally
 from plumwall.judge import Judge, Verdict
@@ -36,6 +38,7 @@
     seed: int = 1
     folder: Path
     deploy: Path = DEPLOY
+    log_format: str = "text"  # of the gateways
     client_workers: int = 1
     host_workers: int = 1
     gateways: list[str] = []  # addresses of gateways that are up already: only the load is played
@@ -75,8 +78,10 @@
         options: Options,
         say: Callable[[str], None] = lambda text: None,
         look: Callable[[Look], None] = lambda seen: None,
+        exporter: Exporter | None = None,
     ) -> None:
         self.options, self._say, self._look = options, say, look
+        self._exporter = exporter or Exporter()
         self.scenario = options.scenario
         self.drawn = Drawn(self.scenario, options.seed)
         self.folder = options.folder
@@ -91,6 +96,7 @@
         self._workers: dict[str, Lines] = {}
         self._answers: dict[str, asyncio.Future] = {}
         self.gateways: dict[str, Gateway] = {}
+        self.registry: ListService | None = None
         self._states: dict[str, str] = {}
         self._tasks: set[asyncio.Task] = set()
         self._last_fault = ""
@@ -141,10 +147,19 @@
             f"{len(self.drawn.tries)} requests by seed {self.options.seed}"
         )
         backing = await self._start_world()
+        if self.scenario.listing.source == "registry":
+            await self._start_registry(backing)
         root = self.options.deploy.resolve().parent.parent
         for spec in self.drawn.gateways:
             gateway = Gateway(
-                spec, self.drawn, root, command, self.folder, self._host(spec.number), self._became
+                spec,
+                self.drawn,
+                root,
+                command,
+                self.folder,
+                self._host(spec.number),
+                self._became,
+                self.options.log_format,
             )
             gateway.configure(backing[spec.name])
             self.gateways[spec.name] = gateway
@@ -160,6 +175,8 @@
         finally:
             for gateway in self.gateways.values():
                 await gateway.close()
+            if self.registry is not None:
+                await self.registry.close()
             await asyncio.gather(*(worker.stop() for worker in self._workers.values()))
             if hasattr(self, "_file"):
                 self._writer.flush()
@@ -206,6 +223,19 @@
         self._workers["backing-0"].tell({"servers": servers})
         return await self._answer("backing-0:backing")
 
+    async def _start_registry(self, backing: dict[str, dict[str, str]]) -> None:
+        """The project's own list service in place of the agents; servers register before gateways start."""
+        self.registry = ListService(self.folder, self._host(0), self.options.log_format)
+        address = await self.registry.start()
+        self._say(f"the list service is at {address}: plumwall servers --at {address}")
+        hosts = [name for name in self._workers if name.startswith("hosts")]
+        for name in hosts:
+            self._workers[name].tell({"registry": address})
+        for name in hosts:
+            await self._answer(f"{name}:registered")
+        for addresses in backing.values():
+            addresses["discovery"] = address
+
     async def _start_worker(self, role: str, shard: int, shards: int) -> None:
         process = await spawn(
             [sys.executable, "-m", "plumwall.emulator.worker"],
@@ -247,6 +277,7 @@
     def _heard(self, name: str, line: dict[str, object]) -> None:
         for second in msgspec.convert(line.pop("tick", []), list[Second]):
             self._seconds[second.gateway] = second
+            self._exporter.second(second)
         if "over" in line:
             self.tally.add(line.pop("over"))
             self._over += 1
@@ -283,6 +314,8 @@
                 max(0.0, (self.t0 + change.at_ms) / 1000 - time.monotonic()), self._change, change
             )
         self._spawn(self._watch())
+        if self.registry is not None:
+            self._spawn(self.registry.start_checkers())
 
     async def _load(self) -> None:
         """The load, until its last client is done."""
@@ -302,6 +335,7 @@
     def _change(self, change: Change) -> None:
         """Carry out what the fault plan says of gateways, and note all that it says."""
         self._writer.write(r.Fault(self._now(), change.kind, change.target, change.size))
+        self._exporter.fault(change.kind)
         self._last_fault = f"{change.at_ms / 1000:.1f} s {change.kind} {change.target}"
         gateway = self.gateways.get(change.target)
         if gateway is None:
@@ -331,6 +365,7 @@
 
     def _became(self, name: str, state: str, why: str) -> None:
         self._states[name] = state
+        self._exporter.state(name, state)
         self._writer.write(r.GatewayIs(self._now() if self.t0 else 0.0, name, state, why))
 
     async def _watch(self) -> None:
--- a/plumwall/emulator/tally.py
+++ b/plumwall/emulator/tally.py
@@ -68,8 +68,7 @@
         self.lateness = histogram()
         self.offered_count = 0
         self.last_offered_ms = 0.0
-        self._by_second: dict[str, dict[int, int]] = {
-            OFFERED: defaultdict(int), SERVED: defaultdict(int)}
+        self._by_second: dict[str, dict[int, int]] = {OFFERED: defaultdict(int), SERVED: defaultdict(int)}
         self._latency: dict[tuple[str, str], HdrHistogram] = defaultdict(histogram)
         self._counts: dict[tuple[str, str], dict[str, int]] = defaultdict(lambda: dict.fromkeys(RESULTS, 0))
         self._now: dict[str, tuple[HdrHistogram, dict[str, int]]] = {}
@@ -115,8 +114,9 @@
             "lateness": self.lateness.encode().decode(),
             "offered": self.offered_count,
             "last_ms": self.last_offered_ms,
-            "seconds": {kind: {str(at): n for at, n in counts.items()}
-                        for kind, counts in self._by_second.items()},
+            "seconds": {
+                kind: {str(at): n for at, n in counts.items()} for kind, counts in self._by_second.items()
+            },
             "groups": [
                 [*key, counts, self._latency[key].encode().decode()] for key, counts in self._counts.items()
             ],
--- a/plumwall/emulator/worker.py
+++ b/plumwall/emulator/worker.py
@@ -104,14 +104,20 @@
     """The servers' process."""
 
     def __init__(self, worker: Worker, hosts: HostsOf) -> None:
-        self._hosts = hosts
+        self._worker, self._hosts = worker, hosts
         worker.say(servers=hosts.addresses())
 
     def told(self, line: dict[str, object]) -> None:
-        """Nothing but the start concerns it."""
-        if "go" in line:
+        """Where the list service is; when the load begins."""
+        if "registry" in line:
+            host, _, port = line["registry"].rpartition(":")
+            self._registering = self._worker.loop.create_task(self._register((host, int(port))))
+        elif "go" in line:
             self._hosts.begin(line["go"])
 
+    async def _register(self, at: tuple[str, int]) -> None:
+        self._worker.say(registered=await self._hosts.register(at))
+
     def change(self, change: Change) -> None:
         """The fault plan."""
         self._hosts.change(change)
--- a/plumwall/scenario.py
+++ b/plumwall/scenario.py
@@ -552,6 +552,10 @@
         raise ScenarioError(f"{path}.zone: {fault.zone!r} is none of fleet.zones")
     if fault.kind in ("zone_lost", "cut_off") and len(zones) < 2:
         raise ScenarioError(f"{path}.kind: {fault.kind} needs two zones or more")
+    if fault.kind in ("cut_off", "late_list") and scenario.listing.source == "registry":
+        raise ScenarioError(
+            f"{path}.kind: {fault.kind} needs listing.source agent, which keeps gateways apart"
+        )
     if fault.kind in ("fail_fast", "reset") and fault.size.most > 1:
         raise ScenarioError(f"{path}.size: is a share, 1 at most")
     if fault.kind in ("slow", "late_list") and fault.size.least < 1:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -8,6 +8,8 @@
 import signal
 import subprocess
 import sys
+import time
+import urllib.request
 from pathlib import Path
 
 import pytest
@@ -213,3 +215,65 @@
     other = Tally(["view"], ["basic"])
     other.add(tally.state())
     assert other.rows() == tally.rows() and other.offered_count == 100
+
+
+def test_the_projects_own_list_service_stands_in_for_the_agents(tmp_path: Path) -> None:
+    faults = (
+        '\n[listing]\nsource = "registry"\n[[faults]]\nkind = "release"\nat_s = 0.5\nfor_s = 1\npart = 0.5\n'
+    )
+    done, outcome = play(
+        tmp_path, SMALL.replace("length_s = 2", "length_s = 7") + faults, "--log-format", "json"
+    )
+    assert outcome["verdict"]["kept"] and outcome["verdict"]["counts"]["served"] > 100, done.stderr
+    lines = [json.loads(line) for line in (tmp_path / "run" / "n0.log").read_text().splitlines()]
+    lists = [line["states"] for line in lines if line["event"] == "list"]
+    assert any("draining" in states for states in lists) and any("removed" in states for states in lists)
+    held = [path for path in (tmp_path / "run").glob("checker-*.log") if '"duty_held"' in path.read_text()]
+    assert len(held) == 1 and left_behind(tmp_path) == []
+
+
+def test_a_load_on_gateways_that_are_up_and_figures_for_prometheus(tmp_path: Path) -> None:
+    (tmp_path / "small.toml").write_text(SMALL)
+    here = ("up", str(tmp_path / "small.toml"), "--no-load", "--out", str(tmp_path / "run"))
+    with subprocess.Popen(
+        command(*here), cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE, text=True
+    ) as process:
+        while "plumwall load --at " not in (line := process.stderr.readline()):
+            assert process.poll() is None
+        at = line.split("--at ")[1].split()[0]
+        with subprocess.Popen(
+            command(
+                "load",
+                "--at",
+                at,
+                "--scenario",
+                str(tmp_path / "small.toml"),
+                "--length",
+                "3",
+                "--json",
+                "--metrics",
+                f"{LOOP}:0",
+                "--out",
+                str(tmp_path / "load"),
+            ),
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        ) as load:
+            url = load.stderr.readline().split()[-1]
+            while 'emulator_tries_total{gateway="n0",result="served"}' not in (figures := fetch(url)):
+                assert load.poll() is None
+                time.sleep(0.1)
+            outcome = json.loads(load.stdout.read())
+        assert 'emulator_latency_seconds{gateway="n0",quantile="0.99"}' in figures
+        assert outcome["verdict"] is None and sum(row["served"] for row in outcome["rows"]) > 100
+        process.send_signal(signal.SIGTERM)
+        process.stderr.read()
+        assert process.wait(timeout=30) == 0
+    assert left_behind(tmp_path) == []
+
+
+def fetch(url: str) -> str:
+    with urllib.request.urlopen(url, timeout=10) as answer:
+        return answer.read().decode()
--- a/tests/test_scenario.py
+++ b/tests/test_scenario.py
@@ -14,7 +14,7 @@
 from plumwall.world.drawn import Drawn
 
 ROOT = Path(__file__).parent.parent
-WANTED = {
+WANTED = {"list-service",
     "quiet",
     "overload",
     "flood",
