--- a/plumwall/judge.py
+++ b/plumwall/judge.py
@@ -21,6 +21,7 @@
 
 WINDOW_MS, STRIDE_MS = 10_000.0, 1_000.0
 MOST_SHUT = 1 / 200  # of the tries may be closed at the door with no answer
+SETTLED, SENT, ASKED = range(3)  # what becomes of a quota, in the order of one moment
 MOST_FINDINGS = 50  # of one rule that are kept word for word
 SERVED_STATUS, REFUSED_STATUS = frozenset((200,)), frozenset((429, 503))
 REQUESTS, EFFECTS, DRAINS, COLD, CEILINGS, FAULTS = (
@@ -71,6 +72,7 @@
     plans: dict[str, float]
     classes: dict[str, float]
     prices: dict[str, float]
+    losses: dict[str, float]  # by cause, the part of the worth asked for that was not answered in time
     figure: float
 
 
@@ -108,6 +110,7 @@
     answered: r.Answered | None = None
     attempts: list[Attempt] = field(default_factory=list)
     inside: bool = False  # its quota had room when it was first sent on
+    room: bool = False  # the same when it was asked, for one that was never sent on
 
     def status(self) -> int:
         whole = self.answered is not None and self.answered.how == r.WHOLE
@@ -144,6 +147,7 @@
             self._of[type(record)].append(record)
         self.findings = Findings()
         self.tries: dict[str, Try] = {}
+        self._unasked: list[r.Answered] = []  # tries that no gateway accepted
         self._servers = {server.name: server for server in drawn.servers}
         self._collect()
 
@@ -151,7 +155,7 @@
         """All rules and figures."""
         for rule in (self._requests, self._effects, self._drains, self._cold, self._ceilings, self._faults):
             rule()
-        service = Accounts(self._scenario, self._drawn, self.tries, self._of).service()
+        service = Accounts(self._scenario, self._drawn, self.tries, self._of, self._unasked).service()
         found = self.findings
         return Verdict(
             not found.counts,
@@ -167,6 +171,8 @@
         for answered in self._of[r.Answered]:
             if answered.id in self.tries:
                 self.tries[answered.id].answered = answered
+            elif answered.how in (r.REFUSED, r.UNTOLD):
+                self._unasked.append(answered)
             elif answered.how == r.DOUBLE:
                 self.findings.add(
                     REQUESTS, answered.at, "said something where nothing was asked", gateway=answered.gateway
@@ -426,11 +432,25 @@
 class Accounts:
     """Worth and prices."""
 
-    def __init__(self, scenario: Scenario, drawn: Drawn, tries: dict[str, Try], of: dict[type, list]) -> None:
+    def __init__(
+        self,
+        scenario: Scenario,
+        drawn: Drawn,
+        tries: dict[str, Try],
+        of: dict[type, list],
+        unasked: Iterable[r.Answered],
+    ) -> None:
         self._scenario, self._drawn, self._tries, self._of = scenario, drawn, tries, of
         self._chains: dict[int, Chain] = {}
         for one in tries.values():
-            self._chains.setdefault(one.first.index, Chain(one.first)).tries.append(one)
+            self._chain(one.first.index).tries.append(one)
+        for answered in unasked:  # asked for all the same
+            self._chain(int(answered.id[:8], 16))
+
+    def _chain(self, index: int) -> Chain:
+        if index not in self._chains:
+            self._chains[index] = Chain(self._drawn.tries[index])
+        return self._chains[index]
 
     def service(self) -> Service:
         """One figure, and what it is made of."""
@@ -457,7 +477,38 @@
             + goal.worst_plan * min(plans.values())
             - sum(prices.values())
         )
-        return Service(whole, worst, worst_from, min(plans.values()), plans, classes, prices, figure)
+        return Service(
+            whole,
+            worst,
+            worst_from,
+            min(plans.values()),
+            plans,
+            classes,
+            prices,
+            self._losses(chains),
+            figure,
+        )
+
+    def _losses(self, chains: list[Chain]) -> dict[str, float]:
+        """What was not answered in time, by its cause: the last thing that went wrong with it."""
+        offered = sum(chain.offered for chain in chains) or 1.0
+        losses: dict[str, float] = defaultdict(float)
+        for chain in chains:
+            if chain.offered > chain.earned:
+                losses[self._cause(chain)] += (chain.offered - chain.earned) / offered
+        return dict(sorted(losses.items(), key=lambda item: -item[1]))
+
+    @staticmethod
+    def _cause(chain: Chain) -> str:
+        served = [t for t in chain.tries if t.served()]
+        sent = [t for t in chain.tries if t.attempts]
+        if served:
+            return "answered late" if any(t.inside for t in served) else "sent on beyond its quota"
+        if sent:
+            return "failed after it was sent on"
+        if not chain.tries:
+            return "no gateway took it"
+        return "refused with room" if any(t.room for t in chain.tries) else "refused without room"
 
     def _plan(self, first: FirstTry) -> object:
         return self._drawn.plans[self._drawn.customers[first.customer].plan]
@@ -466,21 +517,26 @@
         return self._scenario.classes[first.cls].worth * self._plan(first).price * first.units
 
     def _settle(self) -> None:
-        """Which tries were inside their quota when they were first sent on, all gateways together."""
+        """Which tries were inside their quota when first sent on, all gateways together, and which of
+        those that were refused could have been."""
         stores: dict[int, Store] = {}
         events: list[tuple[float, int, Try]] = []
         for one in self._tries.values():
             if one.attempts:
-                events.append((_sent_at(one), 1, one))
+                events.append((_sent_at(one), SENT, one))
                 good = [
                     a.ended for a in one.attempts if a.ended and a.ended.told and a.ended.result == SERVED
                 ]
                 if good:
-                    events.append((good[0].at, 0, one))
-        for at, sent, one in sorted(events, key=lambda e: e[:2]):
+                    events.append((good[0].at, SETTLED, one))
+            else:
+                events.append((one.asked.at, ASKED, one))
+        for at, what, one in sorted(events, key=lambda e: e[:2]):
             plan = self._plan(one.first)
             store = stores.setdefault(one.first.customer, Store.full(plan.rate, plan.burst))
-            if sent:
+            if what == ASKED:
+                one.room = store.fill(at) >= one.first.guess
+            elif what == SENT:
                 one.inside = store.take(at, one.first.guess)
             elif one.inside:
                 store.settle(at, one.first.units - one.first.guess)
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -223,6 +223,22 @@
     assert failed.whole == 0 and failed.prices["waste"] > 0 and failed.prices["late_fail"] > 0
 
 
+def test_what_was_lost_is_told_by_its_cause() -> None:
+    def losses(story: Story) -> dict[str, float]:
+        return story.verdict().service.losses
+
+    assert losses(ok()) == {}
+    assert losses(Story().asked().answered(503)) == {"refused with room": 1.0}
+    assert losses(Story(UNSAFE).asked().sent().ended("error").answered(502)) == {
+        "failed after it was sent on": 1.0
+    }
+    late = losses(Story(UNSAFE).asked().sent().ended("served", after=1300).answered())
+    assert late == {"answered late": pytest.approx(1 - DAY.scenario.classes[UNSAFE].late_worth)}
+    nobody = Story()
+    nobody.records.append(r.Answered(nobody.now, nobody.id, "n0", r.REFUSED))
+    assert losses(nobody) == {"no gateway took it": 1.0} and nobody.verdict().service.whole == 0
+
+
 def test_a_retry_that_is_served_earns_for_its_first_try() -> None:
     story = Story().asked().answered(503)
     rid = request_id(story.first.index, 1, 1, DAY.seed)
