--- a/plumwall/cli/play.py
+++ b/plumwall/cli/play.py
@@ -442,6 +442,8 @@
         f"{max(outcome.memory_mb.values(), default=0):.0f} MiB at the most",
         markup=False,
     )
+    reasons = ", ".join(f"{reason} {count:,}" for reason, count in outcome.refusals.items() if count)
+    out.print(f"  refused by gateways: {reasons or 'nothing'}", markup=False)
     out.print("[green]rules kept[/green]" if verdict.kept else "[red]rules broken[/red]")
     for finding in verdict.findings[:SHOWN]:
         out.print(f"  {finding.line()}", markup=False)
--- a/plumwall/emulator/fleet.py
+++ b/plumwall/emulator/fleet.py
@@ -65,7 +65,7 @@
         self.listen = f"{host}:{free_port(host)}"
         self.ops = f"{host}:{free_port(host)}"
         self.discovery = self.counter = ""
-        self._lives = 0
+        self.lives = 0
         self.process: asyncio.subprocess.Process | None = None
         self._wanted: set[int] = set()  # processes whose end is wanted
         self._watching: asyncio.Task | None = None
@@ -82,7 +82,7 @@
         """Begin a life; returns when it is ready, or was killed before that. One that lives goes on."""
         if self._alive():
             return
-        self._lives += 1
+        self.lives += 1
         self._write()
         with self._log().open("ab") as log:
             process = await spawn(
@@ -210,7 +210,7 @@
         fleet = self._drawn.scenario.fleet
         known = self._folder / f"known-{self.spec.name}.json"
         listing = msgspec.json.decode(known.read_bytes()) if known.exists() else None
-        seed = int(self._drawn.dice.stream("gateway", self.spec.name, self._lives).integers(2**63))
+        seed = int(self._drawn.dice.stream("gateway", self.spec.name, self.lives).integers(2**63))
         raw = {
             "name": self.spec.name,
             "listen": self.listen,
--- a/plumwall/emulator/run.py
+++ b/plumwall/emulator/run.py
@@ -28,6 +28,7 @@
 LEAD_S = 0.5  # from the last word to all workers to the beginning of the load
 WORKER_S = 30.0  # for a worker to draw its day and listen
 LAST_S = 15.0  # beyond the load and the longest deadline, after which clients that are not done are given up
+REFUSALS = 'gateway_refusals_total{reason="'
 LINE = 64 * 1024 * 1024
 
 
@@ -65,6 +66,7 @@
     offered_per_s: float
     most_offered_in_1s: int
     most_served_in_1s: int
+    refusals: dict[str, int]  # by the gateways' own reasons
     cpu_s: dict[str, float]
     memory_mb: dict[str, float]
     folder: str
@@ -101,6 +103,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._last_fault = ""
         self._seconds: dict[str, Second] = {}
+        self._refusals: dict[tuple[str, int], dict[str, float]] = {}  # by gateway and life, by reason
         self._over = 0
         self._done = asyncio.Event()
         self._failure = ""
@@ -197,6 +200,7 @@
             self.tally.offered_count,
             self.tally.offered_count / seconds,
             *self.tally.most_in_a_second(),
+            self._reasons(),
             {name: gateway.cpu_s() for name, gateway in self.gateways.items()},
             {name: gateway.most_mb for name, gateway in self.gateways.items()},
             str(self.folder),
@@ -328,6 +332,7 @@
             self._failure = "the clients were not done in time"
         if self._failure:
             raise StartError(self._failure)
+        await self._figures()
 
     def _now(self) -> float:
         return time.monotonic() * 1000 - self.t0
@@ -372,17 +377,36 @@
         """Figures for who looks on, once a second."""
         while True:
             await asyncio.sleep(1.0)
-            figures = await asyncio.gather(*(gateway.figures() for gateway in self.gateways.values()))
+            figures = await self._figures()
             self._look(
                 Look(
                     self._now() / 1000,
                     dict(self._seconds),
                     dict(self._states),
-                    dict(zip(self.gateways, figures, strict=True)),
+                    figures,
                     self._last_fault,
                 )
             )
 
+    async def _figures(self) -> dict[str, dict[str, float]]:
+        """What each gateway's operators' address says; refusals are kept, since they end with its life."""
+        told = await asyncio.gather(*(gateway.figures() for gateway in self.gateways.values()))
+        for gateway, figures in zip(self.gateways.values(), told, strict=True):
+            refusals = {
+                name.split('"')[1]: value for name, value in figures.items() if name.startswith(REFUSALS)
+            }
+            if refusals:
+                self._refusals[gateway.spec.name, gateway.lives] = refusals
+        return dict(zip(self.gateways, told, strict=True))
+
+    def _reasons(self) -> dict[str, int]:
+        """Refusals by reason, over all lives; of a gateway that was killed, up to a second before."""
+        sums: dict[str, int] = {}
+        for refusals in self._refusals.values():
+            for reason, count in refusals.items():
+                sums[reason] = sums.get(reason, 0) + int(count)
+        return dict(sorted(sums.items(), key=lambda item: -item[1]))
+
     def _spawn(self, work: object) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -41,6 +41,8 @@
             figures = await rig.figures()
             assert figures['gateway_fulfilled_total{priority="read"}'] == 3 + small.count(200)
             assert figures['gateway_throttled_total{priority="read"}'] == small.count(503) > 0
+            assert figures['gateway_refusals_total{reason="quota"}'] == small.count(503)
+            assert sum(v for k, v in figures.items() if k.startswith("gateway_refusals")) == small.count(503)
             assert figures['gateway_faulted_total{priority="pay"}'] == 1
             assert figures["gateway_relayed_total"] == len(rig.hosts[0].seen)
             assert figures["gateway_open_requests"] == 1
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -21,7 +21,7 @@
 from yewstage.net.hosts import Attempt, Hosts
 from yewstage.net.http1 import Reply, Upload
 from yewstage.net.pool import Source
-from yewstage.net.stats import Stats
+from yewstage.net.stats import REFUSED, Stats
 from yewstage.policy import Gateway
 
 log = logging.getLogger(__name__)
@@ -310,6 +310,8 @@
         self._close(request)
         self.stats.ended(request.order.cls.name, status)
         if reply is None:
+            if status in REFUSED:
+                self.stats.refused(why)
             _tell_story(request, status, why)
             client.answer(status, retry_after_ms=retry_after_ms)
         else:
--- a/yewstage/net/stats.py
+++ b/yewstage/net/stats.py
@@ -12,6 +12,8 @@
 REFUSED = frozenset((429, 503))
 
 
+# Why the module refuses, in its words; any other is counted as it comes.
+REASONS = ("quota", "ceiling", "pressed", "too late", "no host", "unservable", "gave up")
 USES = ("clients", "servers", "counter", "discovery", "ops")
 SHORT_CAUSES = ("server", "client", "no_room", "answered")
 STATM = "/proc/self/statm"
@@ -105,6 +107,7 @@
         self._fulfilled: dict[str, int] = {}
         self._throttled: dict[str, int] = {}
         self._faulted: dict[str, int] = {}
+        self._refusals = dict.fromkeys(REASONS, 0)
         self.relayed = 0  # attempts whose last byte was written
         self.accepted = self.invalid = 0  # configuration files at SIGHUP
         self.passed_up = self.passed_down = 0  # bytes of long bodies
@@ -125,6 +128,10 @@
                   else self._throttled if status in REFUSED else self._faulted)
         counts[class_name] += 1
 
+    def refused(self, why: str) -> None:
+        """The module has refused a request, for a reason."""
+        self._refusals[why] = self._refusals.get(why, 0) + 1
+
     def cut_short(self, cause: str) -> None:
         """A long body has ended before its end."""
         self.short[cause] += 1
@@ -145,6 +152,8 @@
             ("registry_entries", listed), ("out_of_rotation", avoided),
             ("cfg_accepted_total", self.accepted), ("cfg_invalid_total", self.invalid),
             *(pair for figures in more for pair in figures.items()))]
+        lines += [f'gateway_refusals_total{{reason="{_escaped(why)}"}} {count}'
+                  for why, count in self._refusals.items()]
         lines += [f'gateway_descriptors{{use="{name}"}} {use.held}'
                   for name, use in self.descriptors.uses.items()]
         lines += [f"{name} {value}" for name, value in self.process.figures()]
