Silence the list as a fault, and keep what gateways say of themselves by the second

An agent that is silent was the one thing of the list that no scenario could bring about; what it missed it hears at once when discovery is back. A run's records hold each gateway's refusals by reason, pressure and share let in, once a second, so that refusals can be laid to causes by time.

--- a/plumwall/emulator/backing.py
+++ b/plumwall/emulator/backing.py
@@ -134,9 +134,13 @@
         self.door = self._door()
         self._watches: dict[Slot, tuple[int, asyncio.TimerHandle]] = {}
         self._told: set[tuple[str, str, float]] = set()
+        self._missed: list[Entry] | None = None  # news while discovery is down
 
     def learn(self, entry: Entry) -> None:
         """News has reached the agent."""
+        if self._missed is not None:
+            self._missed.append(entry)
+            return
         if not self.agent.learn(entry):
             return
         self._loop.call_later(TOLD_MS / 1000, self._count_as_told, entry)
@@ -145,6 +149,17 @@
             timer.cancel()
             self._answer(slot, after)
 
+    def silence(self, down: bool) -> None:
+        """While discovery is down the agent says nothing and hears nothing; then it hears all at once."""
+        if down and self._missed is None:
+            self._missed = []
+            self.door.keep_silent()
+        elif not down and self._missed is not None:
+            missed, self._missed = self._missed, None
+            self.door.speak_again()
+            for entry in missed:
+                self.learn(entry)
+
     def move(self) -> None:
         """Another address; the old one serves on for a little while."""
         old, self.door = self.door, self._door()
@@ -272,6 +287,9 @@
         self.counter.change(change)
         if change.kind == "list_late":
             self._directory.late = change.size
+        elif change.kind in ("list_down", "list_up"):
+            for desk in self.agents.values():
+                desk.silence(change.kind == "list_down")
         elif change.kind in ("server_crash", "server_stop"):
             self._news(change, "gone", GONE)
         elif change.kind == "server_silent":
--- a/plumwall/emulator/run.py
+++ b/plumwall/emulator/run.py
@@ -397,6 +397,15 @@
             }
             if refusals:
                 self._refusals[gateway.spec.name, gateway.lives] = refusals
+                self._writer.write(
+                    r.Figures(
+                        self._now(),
+                        gateway.spec.name,
+                        refusals,
+                        figures.get("gateway_pressure", 0.0),
+                        figures.get("gateway_admitted_share", 1.0),
+                    )
+                )
         return dict(zip(self.gateways, told, strict=True))
 
     def _reasons(self) -> dict[str, int]:
--- a/plumwall/records.py
+++ b/plumwall/records.py
@@ -131,6 +131,15 @@
     server: str
 
 
+class Figures(Record, frozen=True):
+    """What a gateway said of itself: refusals so far by reason, pressure, the share of new work let in."""
+
+    gateway: str
+    refusals: dict[str, float]
+    pressure: float
+    admitted: float
+
+
 class Fault(Record, frozen=True):
     """A change of the fault plan was carried out."""
 
@@ -158,6 +167,7 @@
     | Dialled
     | Counted
     | Probed
+    | Figures
     | Fault
     | Unknown
 )
--- a/plumwall/scenario.py
+++ b/plumwall/scenario.py
@@ -352,24 +352,6 @@
     spread_ms: Annotated[Span, Meta(description="by which this differs between gateways")] = Span(170, 370)
 
 
-KINDS = (
-    "crash",
-    "vanish",
-    "fail_fast",
-    "slow",
-    "cut_off",
-    "zone_lost",
-    "reset",
-    "late_list",
-    "counter_down",
-    "gateway_killed",
-    "gateway_restarted",
-    "reconfigured",
-    "release",
-    "flood",
-)
-
-
 class Fault(_Part):
     """Something that goes wrong, at a time."""
 
@@ -383,6 +365,7 @@
             "zone_lost",
             "reset",
             "late_list",
+            "list_down",
             "counter_down",
             "gateway_killed",
             "gateway_restarted",
@@ -552,7 +535,7 @@
         raise ScenarioError(f"{path}.zone: {fault.zone!r} is none of fleet.zones")
     if fault.kind in ("zone_lost", "cut_off") and len(zones) < 2:
         raise ScenarioError(f"{path}.kind: {fault.kind} needs two zones or more")
-    if fault.kind in ("cut_off", "late_list") and scenario.listing.source == "registry":
+    if fault.kind in ("cut_off", "late_list", "list_down") and scenario.listing.source == "registry":
         raise ScenarioError(
             f"{path}.kind: {fault.kind} needs listing.source agent, which keeps gateways apart"
         )
--- a/plumwall/world/drawn.py
+++ b/plumwall/world/drawn.py
@@ -586,6 +586,12 @@
         yield Change(at, "list_late", "", between(rng, fault.size))
         yield Change(until, "list_late", "", 1.0)
 
+    def _list_down(
+        self, fault: Fault, rng: np.random.Generator, part: float, at: float, until: float
+    ) -> Iterator[Change]:
+        yield Change(at, "list_down")
+        yield Change(until, "list_up")
+
     def _counter_down(
         self, fault: Fault, rng: np.random.Generator, part: float, at: float, until: float
     ) -> Iterator[Change]:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -242,6 +242,17 @@
     assert other.rows() == tally.rows() and other.offered_count == 100
 
 
+def test_a_list_that_is_silent_tells_what_it_missed_afterwards(tmp_path: Path) -> None:
+    faults = AT_ONCE + '[[faults]]\nkind = "list_down"\nat_s = 0.2\nfor_s = 1.5\n' + RELEASE
+    done, outcome = play(tmp_path, SMALL.replace("length_s = 2", "length_s = 4") + faults)
+    records = [json.loads(line) for line in (tmp_path / "run" / "backing-0.jsonl").read_text().splitlines()]
+    told = [record["at"] for record in records if record["t"] == "told" and record["lifecycle"] == "draining"]
+    assert len(told) == 4 and all(
+        1700 <= at < 2700 for at in told
+    )  # two servers, two gateways; drained at 300
+    assert outcome["verdict"]["kept"], done.stderr
+
+
 def test_the_projects_own_list_service_stands_in_for_the_agents(tmp_path: Path) -> None:
     faults = (
         '\n[listing]\nsource = "registry"\n[[faults]]\nkind = "release"\nat_s = 0.5\nfor_s = 1\npart = 0.5\n'
