--- a/plumwall/judge.py
+++ b/plumwall/judge.py
@@ -374,6 +374,7 @@
             "refused": sum(t.status() in REFUSED_STATUS for t in tries),
             "failed": sum(e.how != r.WHOLE or e.status not in SERVED_STATUS | REFUSED_STATUS for e in ends),
             "attempts": attempts,
+            "attempts_per_try": round(attempts / max(1, sum(bool(t.attempts) for t in tries)), 4),
             "dials": len(self._of[r.Dialled]),
             "probes": len(self._of[r.Probed]),
             "counter_calls": len(calls),
--- a/tests/test_scenario.py
+++ b/tests/test_scenario.py
@@ -14,7 +14,9 @@
 from plumwall.world.drawn import Drawn
 
 ROOT = Path(__file__).parent.parent
-WANTED = {"list-service",
+WANTED = {
+    "failing",
+    "list-service",
     "quiet",
     "overload",
     "flood",
