--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -252,8 +252,8 @@
     verdict = story.verdict()
     assert (
         verdict.service.whole == 1.0 and verdict.counts["first_tries"] == 1 and verdict.counts["tries"] == 2
-    assert verdict.counts["attempts_per_try"] == 1  # of those sent on: the refused one is none of them
     )
+    assert verdict.counts["attempts_per_try"] == 1  # of those sent on: the refused one is none of them
 
 
 def test_records_are_read_back_as_they_were_written(tmp_path: object) -> None:
