Say once what the workbench said twice, and take out what nobody read

Nine kinds of faults that are a change and its end are a table now. Out: a table of rules' names, a branch of the judge that could not be reached, and state that was written and never read. The commands of servers keep their like shapes: options that happen to look alike.

--- a/plumwall/cli/check.py
+++ b/plumwall/cli/check.py
@@ -7,13 +7,12 @@
 
 import click
 
-from plumwall.cli.console import BadFileError, as_json, fields
+from plumwall.cli.console import FILE, BadFileError, as_json, fields
 from yewstage.net.clients import Names
 from yewstage.net.config import Config, ConfigError, load
 from yewstage.registry.config import CheckerConfig, checker, read, service
 from yewstage.registry.config import Config as RegistryConfig
 
-FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
 KINDS = ("gateway", "registry", "checker")
 
 
--- a/plumwall/cli/console.py
+++ b/plumwall/cli/console.py
@@ -5,12 +5,15 @@
 import time
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from contextlib import contextmanager
+from pathlib import Path
 
 import click
 import msgspec
 from rich.console import Console
 from rich.table import Table
 
+from yewstage.net.config import Address, ConfigError, address
+
 DONE, FAILED, BAD_USE = 0, 1, 2
 LINES_EVERY_S = 2.0  # of progress, where the output is no terminal
 
@@ -39,6 +42,17 @@
     exit_code = FAILED
 
 
+FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
+
+
+def host_port(option: str, value: str) -> Address:
+    """An option's HOST:PORT; what is none ends the command with the option's name."""
+    try:
+        return address({option: value}, option)
+    except ConfigError as error:
+        raise BadFileError(str(error)) from None
+
+
 def as_json(command: Callable) -> Callable:
     """The option of every command that prints a table."""
     return click.option("--json", "json_", is_flag=True, help="Print JSON instead of a table.")(command)
--- a/plumwall/cli/play.py
+++ b/plumwall/cli/play.py
@@ -21,6 +21,7 @@
     PlainLines,
     WorkFailedError,
     err,
+    host_port,
     out,
     say_json,
     table,
@@ -31,7 +32,7 @@
 from plumwall.emulator.metrics import Exporter
 from plumwall.emulator.run import DEPLOY, Look, Options, Outcome, Run
 from yewstage.log import TEXT
-from yewstage.net.config import Address, ConfigError, address
+from yewstage.net.config import Address
 
 RATE_OF_A_WORKER = 3000.0  # first tries a second that one process of clients or servers carries with ease
 SHOWN = 10  # findings on the screen; the rest is in the run's folder
@@ -44,7 +45,6 @@
         self._title, self._plain = title, PlainLines()
         self._live = Live(console=err, refresh_per_second=4, transient=True) if err.is_terminal else None
         self._quiet = json_ and self._live is None
-        self._seen: Look | None = None
 
     def __enter__(self) -> Screen:
         if self._live is not None:
@@ -119,14 +119,7 @@
 
 
 def _metrics(context: click.Context, parameter: click.Parameter, value: str | None) -> Address | None:
-    return _address("--metrics", value) if value else None
-
-
-def _address(option: str, value: str) -> Address:
-    try:
-        return address({option: value}, option)
-    except ConfigError as error:
-        raise BadFileError(str(error)) from None
+    return host_port("--metrics", value) if value else None
 
 
 @contextmanager
@@ -214,6 +207,11 @@
         raise BadFileError(str(error)) from None
 
 
+def _client_workers(workers: int | None, load: scenarios.Load) -> int:
+    """What was asked for, else as many as the load wants."""
+    return workers or max(1, round(max(load.rate_per_s, load.to_per_s) / RATE_OF_A_WORKER))
+
+
 def _folder(folder: Path | None, name: str, seed: int) -> Path:
     made = folder or Path("runs") / f"{name}-{seed}-{time.strftime('%Y%m%dT%H%M%S')}"
     if made.exists() and any(made.iterdir()):
@@ -282,7 +280,7 @@
       plumwall up --no-load
     """
     made = _changed(found(name), rate, length, to_rate, burst, gateways, servers)
-    count = workers or max(1, round(max(made.load.rate_per_s, made.load.to_per_s) / RATE_OF_A_WORKER))
+    count = _client_workers(workers, made.load)
     run_folder = _folder(folder, made.name, seed)
     with Screen(f"{made.name}, seed {seed}", json_) as screen, _exporter(metrics, screen) as exporter:
         run = Run(
@@ -324,7 +322,7 @@
 
 
 def _gateways(context: click.Context, parameter: click.Parameter, value: str) -> list[str]:
-    return ["{}:{}".format(*_address("--at", at)) for at in value.split(",")]
+    return ["{}:{}".format(*host_port("--at", at)) for at in value.split(",")]
 
 
 @click.command()
@@ -368,7 +366,7 @@
       plumwall load --at 127.0.0.1:8081 --burst 300 5 2 --json
     """
     made = _changed(found(name), rate, length, to_rate, burst, gateways=len(at))
-    count = workers or max(1, round(max(made.load.rate_per_s, made.load.to_per_s) / RATE_OF_A_WORKER))
+    count = _client_workers(workers, made.load)
     run_folder = _folder(folder, f"load-{made.name}", seed)
     with Screen(f"load of {made.name}, seed {seed}", json_) as screen, _exporter(metrics, screen) as exporter:
         run = Run(
--- a/plumwall/cli/servers.py
+++ b/plumwall/cli/servers.py
@@ -7,8 +7,16 @@
 
 import click
 
-from plumwall.cli.console import BadFileError, WorkFailedError, as_json, say_json, say_table, waiting
-from yewstage.net.config import Address, ConfigError, address
+from plumwall.cli.console import (
+    BadFileError,
+    WorkFailedError,
+    as_json,
+    host_port,
+    say_json,
+    say_table,
+    waiting,
+)
+from yewstage.net.config import Address
 from yewstage.registry.client import Client, SilentError, Told
 from yewstage.registry.config import NAME
 
@@ -16,10 +24,7 @@
 
 
 def _addresses(context: click.Context, parameter: click.Parameter, value: str) -> list[Address]:
-    try:
-        return [address({"--at": at}, "--at") for at in value.split(",")]
-    except ConfigError as error:
-        raise BadFileError(str(error)) from None
+    return [host_port("--at", at) for at in value.split(",")]
 
 
 def at_option(command: Callable) -> Callable:
--- a/plumwall/cli/service.py
+++ b/plumwall/cli/service.py
@@ -9,10 +9,9 @@
 
 import click
 
+from plumwall.cli.console import FILE
 from yewstage.log import FORMATS
 
-FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
-
 
 def log_format(command: Callable) -> Callable:
     """How the program logs."""
--- a/plumwall/emulator/backing.py
+++ b/plumwall/emulator/backing.py
@@ -79,8 +79,7 @@
         """Another address for a gateway; the old one takes nobody new and ends a little later."""
         old, self.doors[gateway.name] = self.doors[gateway.name], self._door(gateway)
         self.doors[gateway.name].open()
-        old.take_no_more()
-        self._loop.call_later(MOVE_S, old.close)
+        old.leave(MOVE_S)
 
     def close(self) -> None:
         """The end of it."""
@@ -164,8 +163,7 @@
         """Another address; the old one serves on for a little while."""
         old, self.door = self.door, self._door()
         self.door.open()
-        old.take_no_more()
-        self._loop.call_later(MOVE_S, old.close)
+        old.leave(MOVE_S)
 
     def close(self) -> None:
         """The end of it."""
--- a/plumwall/emulator/clients.py
+++ b/plumwall/emulator/clients.py
@@ -16,6 +16,7 @@
 
 from plumwall import records as r
 from plumwall.emulator.identity import request_id
+from plumwall.emulator.process import is_ready
 from plumwall.emulator.tally import Tally
 from plumwall.world.drawn import Change, Drawn, FirstTry, between
 
@@ -29,11 +30,10 @@
 class Pending:
     """A try on its way."""
 
-    __slots__ = ("first", "number", "id", "gateway", "due", "sent", "fresh", "line", "timer", "over", "late")
+    __slots__ = ("first", "number", "id", "gateway", "due", "fresh", "line", "timer", "over", "late")
 
     def __init__(self, first: FirstTry, number: int, rid: str, gateway: str, due: float) -> None:
         self.first, self.number, self.id, self.gateway, self.due = first, number, rid, gateway, due
-        self.sent = 0.0
         self.fresh = self.over = self.late = False
         self.line: Line | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -46,17 +46,15 @@
         self._target = target
         self._parser = httptools.HttpResponseParser(self)
         self.pending: Pending | None = None
-        self.used = 0
         self.closed = False
         self._begin()
 
     def _begin(self) -> None:
-        self._body, self._units, self._retry, self._any = b"", 0, 0.0, False
+        self._body, self._retry, self._any = b"", 0.0, False
 
     def send(self, pending: Pending, data: bytes) -> None:
         """Write a request."""
         self.pending = pending
-        self.used += 1
         self._begin()
         self.transport.write(data)
 
@@ -212,13 +210,9 @@
         """Whether it says that it can serve."""
         try:
             async with asyncio.timeout(DIAL_S):
-                reader, writer = await asyncio.open_connection(*self._address)
-                writer.write(b"GET /ready HTTP/1.1\r\nHost: front\r\nConnection: close\r\n\r\n")
-                line = await reader.readline()
-                writer.close()
-        except (OSError, TimeoutError):
+                return await is_ready(*self._address)
+        except TimeoutError:
             return False
-        return line.split()[1:2] == [b"200"]
 
 
 class Front:
@@ -331,7 +325,6 @@
     def sent(self, pending: Pending, left_ms: float) -> None:
         """Its last byte is written."""
         now = self.now()
-        pending.sent = now
         self._write(
             r.Asked(
                 now,
--- a/plumwall/emulator/door.py
+++ b/plumwall/emulator/door.py
@@ -206,9 +206,10 @@
         for line in list(self.lines):
             line.mute(False)
 
-    def take_no_more(self) -> None:
-        """Refuse from now on; what is open goes on."""
+    def leave(self, after_s: float) -> None:
+        """Refuse from now on; what is open goes on for a little while."""
         self._drop()
+        self._loop.call_later(after_s, self.close)
 
     def close(self) -> None:
         """The end of it."""
--- a/plumwall/emulator/fleet.py
+++ b/plumwall/emulator/fleet.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from plumwall.emulator.process import cpu_s, end, kill, limits, resident_mb, spawn
+from plumwall.emulator.process import cpu_s, end, is_ready, kill, limits, resident_mb, spawn
 from plumwall.world.drawn import Drawn, GatewaySpec
 
 READY_S = 20.0
@@ -229,14 +229,7 @@
 
     async def _ready(self) -> bool:
         host, _, port = self.listen.rpartition(":")
-        try:
-            reader, writer = await asyncio.open_connection(host, int(port))
-            writer.write(b"GET /ready HTTP/1.1\r\nHost: front\r\nConnection: close\r\n\r\n")
-            line = await reader.readline()
-            writer.close()
-        except OSError:
-            return False
-        return line.split()[1:2] == [b"200"]
+        return await is_ready(host, int(port))
 
     async def _watch(self, process: asyncio.subprocess.Process) -> None:
         """Memory within its limit, and an end that nobody asked for is a crash."""
--- a/plumwall/emulator/identity.py
+++ b/plumwall/emulator/identity.py
@@ -11,6 +11,14 @@
 FORM = re.compile(r"[0-9a-f]{16}")
 
 
+def host_of(network: str, gateway: int) -> str:
+    """The loopback address of what a gateway listens on and calls: its own, which keeps gateways apart.
+
+    `network` is the first three parts of a run's addresses, such as 127.20.0.
+    """
+    return f"{network}.{1 + gateway % 250}"
+
+
 def request_id(index: int, number: int, gateway: int, salt: int) -> str:
     """The id of a try."""
     return f"{index:08x}{number & 0xFF:02x}{gateway:03x}{salt & 0xFFF:03x}"
--- a/plumwall/emulator/listservice.py
+++ b/plumwall/emulator/listservice.py
@@ -3,16 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import os
-import sys
 from pathlib import Path
 
 import msgspec
 
 from plumwall.emulator.fleet import StartError, free_port
-from plumwall.emulator.process import end, kill, spawn
+from plumwall.emulator.process import end, kill, spawn_module
 
-ROOT = Path(__file__).resolve().parents[2]
 CHECKERS = 2  # one holds the duty, one waits for it
 START_S, END_S, LOOK_S = 10.0, 5.0, 0.02
 RATE_PER_S = 10.0  # probes, over all servers
@@ -71,10 +68,10 @@
         path = self._folder / f"{name}.json"
         path.write_bytes(msgspec.json.encode(raw))
         with (self._folder / f"{name}.log").open("ab") as log:
-            process = await spawn(
-                [sys.executable, "-m", module, "--config", str(path.resolve())],
-                ROOT,
-                {**os.environ, "PYTHONPATH": str(ROOT)},
+            process = await spawn_module(
+                module,
+                "--config",
+                str(path.resolve()),
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
--- a/plumwall/emulator/process.py
+++ b/plumwall/emulator/process.py
@@ -7,11 +7,13 @@
 import os
 import resource
 import signal
+import sys
 from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
 
 import msgspec
 
+ROOT = Path(__file__).resolve().parents[2]
 PR_SET_PDEATHSIG = 1
 LIBC = ctypes.CDLL(None, use_errno=True)
 
@@ -51,6 +53,24 @@
     )
 
 
+async def spawn_module(module: str, *words: str, **streams: object) -> asyncio.subprocess.Process:
+    """Start a module of the project with this interpreter."""
+    environ = {**os.environ, "PYTHONPATH": str(ROOT)}
+    return await spawn([sys.executable, "-m", module, *words], ROOT, environ, **streams)
+
+
+async def is_ready(host: str, port: int) -> bool:
+    """Whether a gateway says that it can serve; who asks says how long that may take."""
+    try:
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(b"GET /ready HTTP/1.1\r\nHost: front\r\nConnection: close\r\n\r\n")
+        line = await reader.readline()
+        writer.close()
+    except OSError:
+        return False
+    return line.split()[1:2] == [b"200"]
+
+
 async def end(process: asyncio.subprocess.Process, within_s: float, number: int = signal.SIGTERM) -> bool:
     """A signal, then SIGKILL to all of its session if it stays; whether it ended by itself."""
     if process.returncode is not None:
--- a/plumwall/emulator/run.py
+++ b/plumwall/emulator/run.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import random
-import sys
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -16,14 +14,14 @@
 from plumwall import records as r
 from plumwall import scenario as scenarios
 from plumwall.emulator.fleet import Gateway, StartError, run_command
+from plumwall.emulator.identity import host_of
 from plumwall.emulator.listservice import ListService
 from plumwall.emulator.metrics import Exporter
-from plumwall.emulator.process import Lines, raise_descriptors, spawn
+from plumwall.emulator.process import ROOT, Lines, raise_descriptors, spawn_module
 from plumwall.emulator.tally import Row, Second, Tally
 from plumwall.judge import Judge, Verdict
 from plumwall.world.drawn import Change, Drawn
 
-ROOT = Path(__file__).resolve().parents[2]
 DEPLOY = ROOT / "deploy" / "balancer.toml"
 LEAD_S = 0.5  # from the last word to all workers to the beginning of the load
 WORKER_S = 30.0  # for a worker to draw its day and listen
@@ -213,7 +211,7 @@
     # --- The world ----------------------------------------------------------------------------------------
 
     def _host(self, number: int) -> str:
-        return f"{self._network}.{1 + number % 250}"
+        return host_of(self._network, number)
 
     async def _start_world(self) -> dict[str, dict[str, str]]:
         options = self.options
@@ -241,10 +239,8 @@
             addresses["discovery"] = address
 
     async def _start_worker(self, role: str, shard: int, shards: int) -> None:
-        process = await spawn(
-            [sys.executable, "-m", "plumwall.emulator.worker"],
-            ROOT,
-            {**os.environ, "PYTHONPATH": str(ROOT)},
+        process = await spawn_module(
+            "plumwall.emulator.worker",
             stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
             limit=LINE,
--- a/plumwall/emulator/worker.py
+++ b/plumwall/emulator/worker.py
@@ -11,7 +11,6 @@
 import signal
 import sys
 import time
-from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
@@ -22,6 +21,7 @@
 from plumwall.emulator.backing import Backing
 from plumwall.emulator.clients import Front
 from plumwall.emulator.hosts import HostsOf
+from plumwall.emulator.identity import host_of
 from plumwall.world.drawn import Change, Drawn, GatewaySpec
 
 TICK_S = 1.0
@@ -50,13 +50,10 @@
         self.folder = Path(orders.folder)
         self._file = (self.folder / f"{orders.role}-{orders.shard}.jsonl").open("wb")
         self.writer = r.Writer(self._file)
-        self.ended = asyncio.Event()
-        self.t0 = 0.0
         self.part = {"hosts": self._hosts, "backing": self._backing, "clients": self._clients}[orders.role]()
 
     def _address(self, gateway: GatewaySpec) -> str:
-        """A loopback address for what a gateway calls: addresses of its own keep gateways apart."""
-        return f"{self.orders.network}.{1 + gateway.number % 250}"
+        return host_of(self.orders.network, gateway.number)
 
     def _hosts(self) -> Hosts:
         return Hosts(
@@ -74,10 +71,9 @@
 
     def go(self, t0: float) -> None:
         """The load begins at a time of the shared clock."""
-        self.t0 = t0
         for change in self.drawn.changes:
             self.loop.call_later(
-                max(0.0, t0 + change.at_ms - time.monotonic() * 1000) / 1000, self._change, change
+                max(0.0, t0 + change.at_ms - time.monotonic() * 1000) / 1000, self.part.change, change
             )
         self.loop.call_later(FLUSH_S, self._flush)
 
@@ -92,9 +88,6 @@
         self.writer.flush()
         self._file.close()
 
-    def _change(self, change: Change) -> None:
-        self.part.change(change)
-
     def _flush(self) -> None:
         self.writer.flush()
         self.loop.call_later(FLUSH_S, self._flush)
@@ -228,8 +221,7 @@
     for number in (signal.SIGINT, signal.SIGTERM):
         signal.signal(number, signal.SIG_IGN)
     gc.set_threshold(50_000)
-    run: Callable = uvloop.run
-    run(serve())
+    uvloop.run(serve())
 
 
 if __name__ == "__main__":
--- a/plumwall/judge.py
+++ b/plumwall/judge.py
@@ -32,14 +32,6 @@
     "ceilings",
     "faults",
 )
-RULES = {
-    REQUESTS: "one final answer",
-    EFFECTS: "no double effect",
-    DRAINS: "drains kept",
-    COLD: "no cold server pushed over",
-    CEILINGS: "ceilings kept",
-    FAULTS: "no crash",
-}
 
 
 class Finding(Struct, frozen=True):
@@ -217,11 +209,8 @@
             if end.how == r.WHOLE:
                 if late > overdue:
                     self._lost(one, f"was answered {late:.0f} ms after its time")
-            elif end.how in (r.WRONG, r.DOUBLE):
-                self._lost(
-                    one,
-                    {r.WRONG: "was served with what no server made", r.DOUBLE: "got two answers"}[end.how],
-                )
+            elif end.how == r.WRONG:
+                self._lost(one, "was served with what no server made")
             elif end.how == r.CLOSED and not gone and not asked.fresh:
                 self._lost(one, "lost its connection with no answer")
             elif end.how == r.TIMED_OUT and not gone:
--- a/plumwall/world/drawn.py
+++ b/plumwall/world/drawn.py
@@ -15,11 +15,10 @@
 
 from plumwall.scenario import Fault, Plan, Scenario, Span
 
-START_MS = 0.0
 DRAIN_S = 4.0  # from a release's drain of a server to its end: a server finishes what it holds
 STEP_S = 0.25  # between two gateways that are restarted in turn
 SAMPLES = 20_000  # of work, to learn how many units a request has in the mean
-CALM_USE, FULL_USE = 0, (0.9, 1.0)
+FULL_USE = 0.9, 1.0
 
 
 class ServerSpec(Struct, frozen=True):
@@ -224,7 +223,7 @@
         s = self.scenario.servers
         rng = self.dice.stream("servers")
         replaced = sum(
-            _struck(len(range(s.count)), between(self.dice.stream("fault", i), fault.part))
+            _struck(s.count, between(self.dice.stream("fault", i), fault.part))
             for i, fault in enumerate(self.scenario.faults)
             if fault.kind == "release"
         )
@@ -490,6 +489,22 @@
         ]
 
 
+# Faults that are one change and its end: what they strike, both changes, and the size that is none; no size
+# where there is none to tell.
+SERVERS, GATEWAYS, ALL = "servers", "gateways", "all"
+SIMPLE = {
+    "crash": (SERVERS, "server_crash", "server_start", None),
+    "vanish": (SERVERS, "server_silent", "server_start", None),
+    "fail_fast": (SERVERS, "server_fails", "server_fails", 0.0),
+    "slow": (SERVERS, "server_slow", "server_slow", 1.0),
+    "reset": (ALL, "answers_lost", "answers_lost", 0.0),
+    "late_list": (ALL, "list_late", "list_late", 1.0),
+    "list_down": (ALL, "list_down", "list_up", None),
+    "counter_down": (ALL, "counter_down", "counter_up", None),
+    "gateway_killed": (GATEWAYS, "gateway_kill", "gateway_start", None),
+}
+
+
 class FaultPlan:
     """The scenario's faults as changes of single things at times."""
 
@@ -506,7 +521,8 @@
             rng = self._drawn.dice.stream("fault", i)
             part = between(rng, fault.part)
             at, until = fault.at_s * 1000, (fault.at_s + between(rng, fault.for_s)) * 1000
-            yield from getattr(self, f"_{fault.kind}")(fault, rng, part, at, until)
+            play = self._simple if fault.kind in SIMPLE else getattr(self, f"_{fault.kind}")
+            yield from play(fault, rng, part, at, until)
 
     def _servers(self, rng: np.random.Generator, part: float) -> list[str]:
         return self._some(rng, [server.name for server in self._here], part)
@@ -522,33 +538,15 @@
         zones = self._drawn.scenario.fleet.zones
         return fault.zone or zones[int(rng.integers(len(zones)))]
 
-    def _crash(
+    def _simple(
         self, fault: Fault, rng: np.random.Generator, part: float, at: float, until: float
     ) -> Iterator[Change]:
-        for name in self._servers(rng, part):
-            yield Change(at, "server_crash", name)
-            yield Change(until, "server_start", name)
-
-    def _vanish(
-        self, fault: Fault, rng: np.random.Generator, part: float, at: float, until: float
-    ) -> Iterator[Change]:
-        for name in self._servers(rng, part):
-            yield Change(at, "server_silent", name)
-            yield Change(until, "server_start", name)
-
-    def _fail_fast(
-        self, fault: Fault, rng: np.random.Generator, part: float, at: float, until: float
-    ) -> Iterator[Change]:
-        for name in self._servers(rng, part):
-            yield Change(at, "server_fails", name, between(rng, fault.size))
-            yield Change(until, "server_fails", name, 0.0)
-
-    def _slow(
-        self, fault: Fault, rng: np.random.Generator, part: float, at: float, until: float
-    ) -> Iterator[Change]:
-        for name in self._servers(rng, part):
-            yield Change(at, "server_slow", name, between(rng, fault.size))
-            yield Change(until, "server_slow", name, 1.0)
+        strikes, begins, ends, none = SIMPLE[fault.kind]
+        names = {SERVERS: self._servers, GATEWAYS: self._gateways, ALL: lambda rng, part: [""]}[strikes]
+        for name in names(rng, part):
+            size = 0.0 if none is None else between(rng, fault.size)
+            yield Change(at, begins, name, size)
+            yield Change(until, ends, name, none or 0.0)
 
     def _cut_off(
         self, fault: Fault, rng: np.random.Generator, part: float, at: float, until: float
@@ -574,37 +572,6 @@
             yield Change(at, "counter_down")
             yield Change(until, "counter_up")
 
-    def _reset(
-        self, fault: Fault, rng: np.random.Generator, part: float, at: float, until: float
-    ) -> Iterator[Change]:
-        yield Change(at, "answers_lost", "", between(rng, fault.size))
-        yield Change(until, "answers_lost", "", 0.0)
-
-    def _late_list(
-        self, fault: Fault, rng: np.random.Generator, part: float, at: float, until: float
-    ) -> Iterator[Change]:
-        yield Change(at, "list_late", "", between(rng, fault.size))
-        yield Change(until, "list_late", "", 1.0)
-
-    def _list_down(
-        self, fault: Fault, rng: np.random.Generator, part: float, at: float, until: float
-    ) -> Iterator[Change]:
-        yield Change(at, "list_down")
-        yield Change(until, "list_up")
-
-    def _counter_down(
-        self, fault: Fault, rng: np.random.Generator, part: float, at: float, until: float
-    ) -> Iterator[Change]:
-        yield Change(at, "counter_down")
-        yield Change(until, "counter_up")
-
-    def _gateway_killed(
-        self, fault: Fault, rng: np.random.Generator, part: float, at: float, until: float
-    ) -> Iterator[Change]:
-        for name in self._gateways(rng, part):
-            yield Change(at, "gateway_kill", name)
-            yield Change(until, "gateway_start", name)
-
     def _gateway_restarted(
         self, fault: Fault, rng: np.random.Generator, part: float, at: float, until: float
     ) -> Iterator[Change]:
--- a/plumwall/world/server.py
+++ b/plumwall/world/server.py
@@ -96,7 +96,6 @@
         self.draining = self.fallen = False
         self.fails = 0.0  # share of requests that it fails at once
         self.slow = 1.0  # how many times as long everything takes
-        self.wasted_ms = 0.0  # work done for nobody is the judge's to tell; this is what expired in the queue
         self._busy_ms, self._report_from = 0.0, now
         self._report = {"util": 0.0, "inflight": 0.0, "queue": 0.0}
         self._next_report, self._report_at = self._report, now
