Let no request be lost on a new connection once it was sent on

The judge took a new connection that closed with no answer for one that was never read, even where its request had arrived at a server: it was neither lost nor among those shut at the door. The test fails without it.

--- a/plumwall/judge.py
+++ b/plumwall/judge.py
@@ -211,7 +211,7 @@
                     self._lost(one, f"was answered {late:.0f} ms after its time")
             elif end.how == r.WRONG:
                 self._lost(one, "was served with what no server made")
-            elif end.how == r.CLOSED and not gone and not asked.fresh:
+            elif end.how == r.CLOSED and not gone and (one.attempts or not asked.fresh):
                 self._lost(one, "lost its connection with no answer")
             elif end.how == r.TIMED_OUT and not gone:
                 self._lost(one, f"had no answer {late:.0f} ms after its time")
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -28,8 +28,8 @@
         self.id = request_id(self.first.index, 0, 0, DAY.seed)
         self.records: list[r.Record] = []
 
-    def asked(self) -> Story:
-        self.records.append(r.Asked(self.now, self.id, self.first.index, 0, "n0", 4000, self.now))
+    def asked(self, fresh: bool = False) -> Story:
+        self.records.append(r.Asked(self.now, self.id, self.first.index, 0, "n0", 4000, self.now, fresh))
         return self
 
     def sent(self, server: object = HERE, after: float = 1.0) -> Story:
@@ -113,6 +113,10 @@
         Story().asked().sent().ended("served").answered(200, after=4700),
     ),
     "a connection lost": (REQUESTS, Story().asked().sent().answered(0, r.CLOSED)),
+    "a new connection lost under what was sent on": (
+        REQUESTS,
+        Story().asked(fresh=True).sent().answered(0, r.CLOSED),
+    ),
     "an answer that no server made": (REQUESTS, Story().asked().answered(200, r.WRONG)),
     "something unasked": (REQUESTS, ok().also(r.Answered(5000.0, "", "n0", r.DOUBLE))),
     "an unsafe one sent twice": (
