Add consensus as a pure state machine, its log on disk, and a checker that plays them

Cause: the list service is one process with one folder, and a lost disk is a lost list, every lease and every drain. What is to be copied needs one order that a majority has on its disks; nothing of it existed.

Age is told by the follower's own clock, echoed by the leader, so that no other clock is trusted. yewstage/raft/disk has segments of records with checksums; one sync for many writes; a torn tail is cut, a broken middle or a later format refused. yewstage/holding/group puts the list service's store on it, plan by plan: answers and refusals leave only when what they rest on is committed and leadership was confirmed. plumwall/model plays that very code: random plans from eight scenes and all orders to a depth.

Replicating commands instead of planned entries: a store's decisions need the leader's clock. A lease by the leader's clock for reads: a clock would carry safety.

--- /dev/null
+++ b/plumwall/model/__init__.py
@@ -0,0 +1,2 @@
+"""Checking the pure parts by playing them: all orders to a depth, and long random plans, under virtual
+time."""
--- a/yewstage/registry/store.py
+++ b/yewstage/registry/store.py
@@ -21,9 +21,12 @@
     """A write that the store does not take; nothing was changed."""
 
     def __init__(self, status: int, why: str, field: str = "") -> None:
-        super().__init__(why)
+        super().__init__(status, why, field)
         self.status, self.why, self.field = status, why, field
 
+    def __str__(self) -> str:
+        return self.why
+
 
 @dataclass(slots=True, frozen=True)
 class Record:
