--- a/benchmarks/registry.py
+++ b/benchmarks/registry.py
@@ -18,6 +18,7 @@
 from benchmarks.scenes import Transport
 from yewstage.net.serve import Caller
 from yewstage.registry.config import service
+from yewstage.registry.ledger import Alone
 from yewstage.registry.log import Log
 from yewstage.registry.server import Registry
 from yewstage.registry.store import Record, Rules, Store
@@ -55,7 +56,8 @@
     files = Log(folder)
     files.load()
     store = Store(config.rules, 1)
-    registry = Registry(config, store, files, asyncio.get_running_loop(), random.Random(1))
+    loop = asyncio.get_running_loop()
+    registry = Registry(config, Alone(store, files, config.snapshot_entries, loop), loop, random.Random(1))
     for n in range(SERVERS):
         store.apply(store.plan_register(record(n)), 0.0)
     heard: list[float] = []
@@ -72,7 +74,7 @@
         heard.clear()
         changed, started = record(n, weight=2.0 + n), time.perf_counter()
         used = time.thread_time()
-        await registry._bring_about(lambda changed=changed: store.plan_register(changed))
+        await registry.ledger.write(lambda store, now, changed=changed: store.plan_register(changed))
         cpu.append(time.thread_time() - used)
         assert len(heard) == count
         last.append(heard[-1] - started)
--- a/plumwall/cli/main.py
+++ b/plumwall/cli/main.py
@@ -22,9 +22,12 @@
     "drain": "servers:drain",
     "undrain": "servers:undrain",
     "leases": "servers:leases",
+    "holding": "holding:holding",
+    "torture": "torture:torture",
+    "check-model": "torture:check_model",
     "config": "check:config",
 }
-LIBRARIES = ("click", "rich", "msgspec", "numpy", "hdrhistogram", "httptools", "uvloop")
+LIBRARIES = ("click", "rich", "msgspec", "xxhash", "numpy", "hdrhistogram", "httptools", "uvloop")
 
 
 class Lazy(click.Group):
--- a/plumwall/cli/service.py
+++ b/plumwall/cli/service.py
@@ -22,11 +22,11 @@
     )(command)
 
 
-def _format(chosen: str | None) -> list[str]:
+def chosen_format(chosen: str | None) -> list[str]:
     return ["--log-format", chosen] if chosen else []
 
 
-def _become(module: str, *words: str) -> None:
+def become(module: str, *words: str) -> None:
     """Replace this process: what runs in service carries nothing of the workbench."""
     sys.stdout.flush()
     os.execv(sys.executable, [sys.executable, "-m", module, *words])
@@ -52,7 +52,7 @@
     os.environ["ROUTER_CONFIG"] = str(config)
     if log_format:
         os.environ["ROUTER_LOG"] = log_format
-    _become("yewstage")
+    become("yewstage")
 
 
 @click.command()
@@ -65,7 +65,7 @@
     Example:
       plumwall registry --config registry.json
     """
-    _become("yewstage.registry", "--config", str(config), *_format(log_format))
+    become("yewstage.registry", "--config", str(config), *chosen_format(log_format))
 
 
 @click.command()
@@ -78,4 +78,4 @@
     Example:
       plumwall checker --config checker.json
     """
-    _become("yewstage.checker", "--config", str(config), *_format(log_format))
+    become("yewstage.checker", "--config", str(config), *chosen_format(log_format))
--- /dev/null
+++ b/plumwall/cli/torture.py
@@ -0,0 +1,119 @@
+"""`plumwall torture`: rounds of faults on real processes, until something breaks or all are played."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import time
+from pathlib import Path
+
+import click
+import numpy as np
+
+from plumwall.cli.console import BadFileError, as_json, fields, waiting
+from plumwall.faults import torture as work
+from plumwall.model import explore
+from plumwall.model.scenes import SCENES
+
+
+@click.command()
+@click.argument("plan", default="holding")
+@click.option("--rounds", type=click.IntRange(1), default=20, show_default=True, help="How many faults.")
+@click.option(
+    "--seed", type=click.IntRange(0), default=1, show_default=True, help="Draws the same faults again."
+)
+@click.option("--out", type=click.Path(file_okay=False, path_type=Path), help="Keep folders and logs there.")
+@as_json
+def torture(plan: str, rounds: int, seed: int, out: Path | None, json_: bool) -> None:
+    """Lose, stop, cut off and bring back real machines under writers, and check what they were promised.
+
+    PLAN is a name or a TOML file. Ends 1 with the last calls before the breach if a promise was broken.
+
+    \b
+    Example:
+      plumwall torture holding --rounds 200 --seed 7
+    """
+    try:
+        read = work.read_plan(plan)
+    except ValueError as error:
+        raise BadFileError(str(error)) from None
+    began = time.monotonic()
+    with tempfile.TemporaryDirectory() as folder, waiting("torture", json_) as say:
+        drawn = work.draw(read, rounds, seed)
+        outcome = asyncio.run(work.torture(read, drawn, out or Path(folder), say))
+    fields(
+        {
+            "plan": plan,
+            "seed": seed,
+            "rounds": outcome.rounds,
+            "writes": outcome.writes,
+            "tries not acknowledged": outcome.unsure,
+            "grants of the duty": outcome.grants,
+            "no write for, s": spread(outcome.gaps_s),
+            "all copies again, s": spread(outcome.whole_s),
+            "took, s": round(time.monotonic() - began, 1),
+            "broken": outcome.breach or "nothing",
+        },
+        json_,
+    )
+    if outcome.breach:
+        click.echo(f"after {outcome.after}", err=True)
+        for line in outcome.history:
+            click.echo(line, err=True)
+        raise SystemExit(1)
+
+
+def spread(values: list[float]) -> str:
+    """Median, 99th percentile, most, and of how many."""
+    if not values:
+        return "none"
+    p50, p99 = np.percentile(values, (50, 99))
+    return f"p50 {p50:.2f}, p99 {p99:.2f}, most {max(values):.2f} of {len(values)}"
+
+
+@click.command("check-model")
+@click.option("--plans", type=click.IntRange(0), default=1000, show_default=True, help="Random plans.")
+@click.option("--steps", type=click.IntRange(1), default=300, show_default=True, help="Of each plan.")
+@click.option("--seed", type=click.IntRange(0), default=0, show_default=True, help="Of the first plan.")
+@click.option(
+    "--depth",
+    type=click.IntRange(0),
+    default=0,
+    show_default=True,
+    help="All orders from each scene to this depth.",
+)
+@as_json
+def check_model(plans: int, steps: int, seed: int, depth: int, json_: bool) -> None:
+    """Play consensus and the store on it under virtual time: random plans, and all orders to a depth.
+
+    \b
+    Example:
+      plumwall check-model --plans 5000 --depth 4
+    """
+    found = []
+    with waiting("random plans", json_) as say:
+        if plans:
+            found.append(
+                explore.search(range(seed, seed + plans), steps, say=lambda f: say(f"{f.plans} played"))
+            )
+        for scene in SCENES if depth else ():
+            say(f"all orders from {scene}")
+            found.append(explore.every(scene, depth))
+    for result in found:
+        fields(
+            {
+                "scene": "random" if result.plans else result.scene,
+                "plans": result.plans,
+                "steps": result.steps,
+                "states": result.states,
+                "depth": result.depth,
+                "took, s": round(result.took_s, 1),
+                "broken": result.breach or "nothing",
+            },
+            json_,
+        )
+        if result.breach:
+            for step in explore.shorten(result):
+                click.echo(" ".join(step), err=True)
+    if any(result.breach for result in found):
+        raise SystemExit(1)
--- /dev/null
+++ b/plumwall/faults/links.py
@@ -0,0 +1,150 @@
+"""A stand-in for one link: connections to it go on to the real address, each direction by its own rules.
+
+Bytes that a direction loses are gone: when it heals the connections that lost some end, as a stream with a
+hole
+would. What it holds comes later, whole and in order.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+READ = 64 * 1024
+
+
+@dataclass
+class Way:
+    """One direction."""
+
+    open: asyncio.Event = field(default_factory=asyncio.Event)
+    lossy: bool = False
+    delay_s: float = 0.0
+    bytes_per_s: float = 0.0  # 0: as fast as it goes
+    passed: int = 0
+    lost: int = 0
+
+    def __post_init__(self) -> None:
+        self.open.set()
+
+
+@dataclass(eq=False)
+class _Pair:
+    writers: list[asyncio.StreamWriter]
+    holed: bool = False
+
+    def abort(self) -> None:
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+class StandIn:
+    """One link, from whoever dials it to its target."""
+
+    def __init__(self, target: tuple[str, int] | None = None) -> None:
+        self.target = target
+        self.there, self.back = Way(), Way()
+        self.refusing = False
+        self.address = ("", 0)
+        self._pairs: set[_Pair] = set()
+        self._tasks: set[asyncio.Task] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str = "127.0.0.1") -> tuple[str, int]:
+        """Listen on a port of the system's choice."""
+        self._server = await asyncio.start_server(self._take, host, 0)
+        self.address = self._server.sockets[0].getsockname()[:2]
+        return self.address
+
+    async def stop(self) -> None:
+        """End all."""
+        self._server.close()
+        self.reset()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    # --- Faults -------------------------------------------------------------------------------------------
+
+    def cut(self, there: bool = True, back: bool = True) -> None:
+        """Lose all that goes these ways; connections stay up, as those of a silent network do."""
+        self.there.lossy, self.back.lossy = self.there.lossy or there, self.back.lossy or back
+
+    def hold(self, there: bool = True, back: bool = True) -> None:
+        """Keep what goes these ways until it is let go."""
+        for way, chosen in ((self.there, there), (self.back, back)):
+            if chosen:
+                way.open.clear()
+
+    def slow(self, delay_s: float, bytes_per_s: float = 0.0) -> None:
+        """Both ways take longer."""
+        for way in (self.there, self.back):
+            way.delay_s, way.bytes_per_s = delay_s, bytes_per_s
+
+    def reset(self) -> None:
+        """End all connections in the middle of whatever they carry."""
+        for pair in list(self._pairs):
+            pair.abort()
+
+    def refuse(self) -> None:
+        """Nobody is there: connections end, and no new ones are taken."""
+        self.refusing = True
+        self.reset()
+
+    def heal(self) -> None:
+        """As new. Connections that lost something end."""
+        self.refusing = False
+        for way in (self.there, self.back):
+            way.lossy, way.delay_s, way.bytes_per_s = False, 0.0, 0.0
+            way.open.set()
+        for pair in [pair for pair in self._pairs if pair.holed]:
+            pair.abort()
+
+    # --- Connections --------------------------------------------------------------------------------------
+
+    async def _take(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            if self.refusing or self.target is None:
+                writer.transport.abort()
+                return
+            try:
+                far_reader, far_writer = await asyncio.open_connection(*self.target)
+            except OSError:
+                writer.transport.abort()
+                return
+            pair = _Pair([writer, far_writer])
+            self._pairs.add(pair)
+            try:
+                await asyncio.gather(
+                    self._carry(reader, far_writer, self.there, pair),
+                    self._carry(far_reader, writer, self.back, pair),
+                )
+            finally:
+                self._pairs.discard(pair)
+                pair.abort()
+        except asyncio.CancelledError:
+            pass  # the stand-in ends
+        finally:
+            self._tasks.discard(task)
+
+    async def _carry(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, way: Way, pair: _Pair
+    ) -> None:
+        try:
+            while data := await reader.read(READ):
+                await way.open.wait()
+                wait_s = way.delay_s + (len(data) / way.bytes_per_s if way.bytes_per_s else 0.0)
+                if wait_s:
+                    await asyncio.sleep(wait_s)
+                if way.lossy:
+                    pair.holed = True
+                    way.lost += len(data)
+                    continue
+                way.passed += len(data)
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        pair.abort()
--- /dev/null
+++ b/plumwall/faults/machines.py
@@ -0,0 +1,228 @@
+"""Machines of a holding: real processes with a folder each, and a stand-in on every link between two of
+them."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import shutil
+import signal
+from pathlib import Path
+
+import msgspec
+
+from plumwall.emulator.process import kill, spawn_module
+from plumwall.faults.links import StandIn
+from yewstage.registry.client import Client, SilentError
+
+HOST = "127.0.0.1"
+ZONES = ("a", "b", "c")
+
+
+def hindered(module: str, sync_ms: float = 0.0, file_bytes: int = 0, clock_s: float = 0.0) -> list[str]:
+    """The words that run a module, on a worse machine where that is wanted."""
+    if not (sync_ms or file_bytes or clock_s):
+        return [module]
+    how = [f"--sync-ms={sync_ms}", f"--file-bytes={file_bytes}", f"--clock-s={clock_s}"]
+    return ["plumwall.faults.hindered", *how, module]
+
+
+class Machine:
+    """One machine: a name, a folder, a process unless it is down. Its ports stay once they are known."""
+
+    def __init__(self, name: str, zone: str, folder: Path, changes: dict[str, object]) -> None:
+        self.name, self.zone, self.folder, self.changes = name, zone, folder, changes
+        self.links: dict[str, StandIn] = {}  # to the others, by name
+        self.peer = self.listen = self.ops = 0
+        # What is worse than it should be, from the next start on.
+        self.sync_ms = self.file_bytes = self.clock_s = 0
+        self.process: asyncio.subprocess.Process | None = None
+        self.lines: list[str] = []
+        self._reading: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Start the process; returns once it listens."""
+        raw = {
+            "cluster": "rig",
+            "name": self.name,
+            "zone": self.zone,
+            "peer": f"{HOST}:{self.peer}",
+            "listen": f"{HOST}:{self.listen}",
+            "ops": f"{HOST}:{self.ops}",
+            "folder": str(self.folder / "state"),
+            "peers": {name: f"{HOST}:{link.address[1]}" for name, link in self.links.items()},
+            "settle_ms": 0,
+            **self.changes,
+        }
+        self.folder.mkdir(parents=True, exist_ok=True)
+        path = self.folder / "holding.json"
+        path.write_bytes(msgspec.json.encode(raw))
+        self.process = await spawn_module(
+            *hindered("yewstage.holding", self.sync_ms, self.file_bytes, self.clock_s),
+            "--config",
+            str(path.resolve()),
+            stderr=asyncio.subprocess.PIPE,
+        )
+        while True:
+            line = (await self.process.stderr.readline()).decode()
+            if not line:
+                raise RuntimeError(f"{self.name} ended at its start: {self.lines[-3:]}")
+            self.lines.append(line)
+            port = int(line.rsplit(":", 1)[1]) if " on 127." in line or "address 127." in line else 0
+            if "operators' address" in line:
+                self.ops = port
+            elif "hearing others on" in line:
+                self.peer = port
+            elif "listening on" in line:
+                self.listen = port
+                break
+        self._reading = asyncio.create_task(self._read(self.process))
+
+    async def _read(self, process: asyncio.subprocess.Process) -> None:
+        while line := await process.stderr.readline():
+            self.lines.append(line.decode())
+            del self.lines[:-500]
+
+    def up(self) -> bool:
+        """Whether its process runs."""
+        return self.process is not None and self.process.returncode is None
+
+    async def kill(self, disk_too: bool = False) -> None:
+        """SIGKILL; with its disk, if that is lost as well."""
+        kill(self.process)
+        await self.process.wait()
+        if disk_too:
+            shutil.rmtree(self.folder / "state", ignore_errors=True)
+
+    async def end(self) -> int:
+        """SIGTERM; its exit status."""
+        self.process.send_signal(signal.SIGTERM)
+        return await self.process.wait()
+
+    def pause(self) -> None:
+        """SIGSTOP."""
+        os.kill(self.process.pid, signal.SIGSTOP)
+
+    def wake(self) -> None:
+        """SIGCONT."""
+        os.kill(self.process.pid, signal.SIGCONT)
+
+    def keep_copy(self) -> None:
+        """Remember the folder as it is now."""
+        shutil.rmtree(self.folder / "earlier", ignore_errors=True)
+        shutil.copytree(self.folder / "state", self.folder / "earlier")
+
+    def bring_back(self) -> None:
+        """Put the folder of that earlier time in place of the one there is."""
+        shutil.rmtree(self.folder / "state", ignore_errors=True)
+        shutil.copytree(self.folder / "earlier", self.folder / "state")
+
+    def tear(self, bytes_: int) -> None:
+        """Take the end of the newest segment off, as a crash in the middle of a write leaves it."""
+        newest = max((self.folder / "state" / "list").glob("log-*"))
+        os.truncate(newest, max(newest.stat().st_size - bytes_, 0))
+
+
+class Machines:
+    """All of them, and the links."""
+
+    def __init__(self, folder: Path, count: int, sync_ms: float = 0, **changes: object) -> None:
+        self.all = [Machine(f"m{i}", ZONES[i % len(ZONES)], folder / f"m{i}", changes) for i in range(count)]
+
+        for machine in self.all:
+            machine.sync_ms = sync_ms
+
+    async def __aenter__(self) -> Machines:
+        for machine in self.all:
+            for other in self.all:
+                if other is not machine:
+                    machine.links[other.name] = StandIn()
+                    await machine.links[other.name].start(HOST)
+        for machine in self.all:
+            await self.start(machine)
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        for machine in self.all:
+            if machine.up():
+                machine.wake()
+                kill(machine.process)
+                await machine.process.wait()
+            for link in machine.links.values():
+                await link.stop()
+
+    async def start(self, machine: Machine) -> None:
+        """Start one, and lead the links to it where it is now."""
+        await machine.start()
+        for other in self.all:
+            if other is not machine:
+                other.links[machine.name].target = (HOST, machine.peer)
+
+    def isolate(self, machine: Machine, out: bool = True, into: bool = True) -> None:
+        """Lose what it sends, what it is sent, or both."""
+        for other in self.all:
+            if other is not machine:
+                if out:
+                    machine.links[other.name].cut()
+                if into:
+                    other.links[machine.name].cut()
+
+    def heal(self) -> None:
+        """All links are as new."""
+        for machine in self.all:
+            for link in machine.links.values():
+                link.heal()
+
+    def client(self) -> Client:
+        """A client that knows them all."""
+        return Client([(HOST, machine.listen) for machine in self.all])
+
+    async def status(self, machine: Machine) -> dict[str, object]:
+        """What one says of itself; nothing if it does not answer."""
+        client = Client([(HOST, machine.listen)])
+        try:
+            async with asyncio.timeout(1.0):
+                told = await client.call("GET", "/v1/holding/status")
+            return told.body if told.status == 200 else {}
+        except (SilentError, TimeoutError):
+            return {}
+        finally:
+            client.close()
+
+    async def init(self, chosen: list[Machine]) -> None:
+        """Begin a group on these."""
+        rows = [await self.status(machine) for machine in chosen]
+        members = [{key: row[key] for key in ("id", "name", "zone", "peer", "call")} for row in rows]
+        first = chosen[min(range(len(rows)), key=lambda i: rows[i]["id"])]
+        client = Client([(HOST, first.listen)])
+        told = await client.call("POST", "/v1/holding/init", {"members": members})
+        client.close()
+        if told.status != 200:
+            raise RuntimeError(f"init: {told}")
+
+    async def leader(self) -> Machine:
+        """Who leads, once somebody does."""
+        while True:
+            for machine in self.all:
+                if machine.up() and (await self.status(machine)).get("role") == "leader":
+                    return machine
+            await asyncio.sleep(0.05)
+
+    async def whole(self) -> dict[str, object]:
+        """Wait until every copy is there, on the disk that its machine has now, and no change is under
+        way; the leader's status."""
+        while True:
+            status = await self.status(await self.leader())
+            if status and await self._is_whole(status):
+                return status
+            await asyncio.sleep(0.05)
+
+    async def _is_whole(self, status: dict[str, object]) -> bool:
+        members = status["members"]
+        if status["short"] or len(members) != status["copies"]:
+            return False
+        if not all(m["voter"] and m["behind"] in (0, None) for m in members):
+            return False
+        names = {machine.name: machine for machine in self.all}
+        there = await asyncio.gather(*(self.status(names[m["id"].rpartition(".")[0]]) for m in members))
+        return [told.get("id") for told in there] == [m["id"] for m in members]
--- /dev/null
+++ b/plumwall/faults/torture.py
@@ -0,0 +1,325 @@
+"""Rounds of faults on real processes under load, drawn by a seed, with what must hold looked at all along.
+
+Each key has one writer, whose versions only rise: what is acknowledged and then not there, or there in an
+older
+version, is lost. Two processes want one duty; both may never hold it at once by their own clocks, and
+tokens only
+rise. A round ends when no copy is missing any more and every member tells a list that has all that was
+acknowledged.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import tomllib
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import numpy as np
+
+from plumwall.faults.machines import HOST, ZONES, Machine, Machines
+from yewstage.registry.client import Client, Duty, SilentError
+
+PLANS = Path(__file__).parent / "plans"
+ROUND_S = 60.0  # by when all copies must be there again
+FAULT_S = 1.0  # how long a pause or a cut lasts
+TTL_MS = 1e8
+Count = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class Plan(msgspec.Struct, forbid_unknown_fields=True):
+    """What is played."""
+
+    machines: Annotated[int, msgspec.Meta(ge=3, le=30)]
+    copies: Annotated[int, msgspec.Meta(ge=1, le=7)]
+    writers: Count
+    keys: Annotated[int, msgspec.Meta(ge=1, le=1000)]
+    gone_ms: float
+    zone_every: Count
+    faults: dict[str, float]
+
+
+FAULTS = ("lost", "leader_lost", "killed", "torn", "earlier", "paused", "deaf", "mute", "cut")
+
+
+def read_plan(name: str) -> Plan:
+    """A plan by its name or path; ValueError names the field."""
+    path = Path(name) if name.endswith(".toml") else PLANS / f"{name}.toml"
+    try:
+        plan = msgspec.convert(tomllib.loads(path.read_text()), Plan)
+    except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        raise ValueError(f"{path}: {error}") from None
+    for fault, weight in plan.faults.items():
+        if fault not in FAULTS or weight < 0:
+            raise ValueError(f"{path}: faults.{fault}: must be one of {', '.join(FAULTS)}, not under 0")
+    if not sum(plan.faults.values()) > 0:
+        raise ValueError(f"{path}: faults: one must be above 0")
+    return plan
+
+
+@dataclass(frozen=True)
+class Round:
+    """One round's fault."""
+
+    number: int
+    fault: str
+    at: int  # which machine, or which zone
+
+
+def draw(plan: Plan, rounds: int, seed: int) -> list[Round]:
+    """The rounds of a seed."""
+    rng = np.random.default_rng(np.random.SeedSequence(seed))
+    names = list(plan.faults)
+    weights = np.array(list(plan.faults.values())) / sum(plan.faults.values())
+    drawn = []
+    for number in range(1, rounds + 1):
+        fault, at = str(rng.choice(names, p=weights)), int(rng.integers(plan.machines))
+        if plan.zone_every and number % plan.zone_every == 0:
+            fault, at = "zone_lost", int(rng.integers(len(ZONES)))
+        drawn.append(Round(number, fault, at))
+    return drawn
+
+
+class BreachError(AssertionError):
+    """A promise was broken."""
+
+
+@dataclass
+class Outcome:
+    """What came of all rounds."""
+
+    rounds: int = 0
+    writes: int = 0
+    unsure: int = 0  # tries without an acknowledgement
+    grants: int = 0
+    breach: str = ""
+    after: Round | None = None
+    gaps_s: list[float] = field(default_factory=list)  # without a write, after a leader was lost
+    whole_s: list[float] = field(default_factory=list)  # until no copy was missing
+    history: list[str] = field(default_factory=list)  # of the last round
+
+
+class Load:
+    """Writers, and two who want a duty."""
+
+    def __init__(self, machines: Machines, plan: Plan) -> None:
+        self._machines, self._plan = machines, plan
+        self.begun: dict[str, int] = {}
+        self.acknowledged: dict[str, int] = {}
+        self.writes = self.unsure = 0
+        self.last_at = time.monotonic()
+        self.longest_s = 0.0  # without a write since this was set to 0
+        self.duties: list[Duty] = []
+        self.tokens: list[tuple[str, int]] = []
+        self._clients: list[Client] = []
+        self._tasks: list[asyncio.Task] = []
+        self.breach = ""
+        self.history: list[str] = []
+
+    def start(self) -> None:
+        """Begin."""
+        for writer in range(self._plan.writers):
+            self._tasks.append(asyncio.create_task(self._write(writer)))
+        for name in ("h1", "h2"):
+            duty = Duty(self._client(), "duty", name, 1500.0, 0.01, time.monotonic)
+            self.duties.append(duty)
+            self._tasks.append(asyncio.create_task(self._hold(duty, name)))
+        self._tasks.append(asyncio.create_task(self._look()))
+
+    async def stop(self) -> None:
+        """End."""
+        for task in self._tasks:
+            task.cancel()
+        for ended in await asyncio.gather(*self._tasks, return_exceptions=True):
+            if isinstance(ended, Exception) and not self.breach:
+                self.breach = f"the load failed: {ended!r}"
+        for client in self._clients:
+            client.close()
+
+    def _client(self) -> Client:
+        client = self._machines.client()
+        self._clients.append(client)
+        return client
+
+    async def _write(self, writer: int) -> None:
+        client, number = self._client(), 0
+        while True:
+            number += 1
+            key = f"w{writer}-{number % self._plan.keys}"
+            version = self.begun[key] = self.begun.get(key, 0) + 1
+            began = time.monotonic()
+            while True:
+                try:
+                    async with asyncio.timeout(2.0):
+                        told = await client.call(
+                            "PUT",
+                            f"/v1/endpoints/{key}",
+                            {"hostPort": f"{HOST}:1", "ttlMs": TTL_MS, "startedAtMs": version},
+                        )
+                    status = told.status
+                except (SilentError, TimeoutError):
+                    client.close()
+                    status = 0
+                if status == 200:
+                    break
+                self.unsure += 1
+                if status == 409:
+                    self.breach = f"{key} version {version}: {told.body}"
+                await asyncio.sleep(0.02)
+            self.acknowledged[key] = version
+            self.writes += 1
+            now = time.monotonic()
+            self.longest_s = max(self.longest_s, now - self.last_at)
+            self.last_at = now
+            self.history.append(f"{began:.3f} {now:.3f} {key} = {version}")
+            del self.history[:-2000]
+            await asyncio.sleep(0.01)
+
+    async def _hold(self, duty: Duty, name: str) -> None:
+        token, rounds = 0, 0
+        while True:
+            rest_s = await duty.hold()
+            if duty.token != token:
+                token = duty.token
+                if self.tokens and token <= self.tokens[-1][1] and self.tokens[-1][0] != name:
+                    self.breach = f"{name} got token {token} after {self.tokens[-1]}"
+                self.tokens.append((name, token))
+            await asyncio.sleep(min(rest_s, 0.4))
+            rounds += duty.held()
+            if rounds % 5 == 4 and duty.held():
+                await duty.release()  # now and then it passes on
+                await asyncio.sleep(0.5)
+
+    async def _look(self) -> None:
+        while True:
+            if sum(duty.held() for duty in self.duties) > 1:
+                self.breach = f"two hold the duty at once: {self.tokens[-2:]}"
+            await asyncio.sleep(0.002)
+
+
+class Torture:
+    """Plays rounds."""
+
+    def __init__(
+        self, machines: Machines, plan: Plan, say: Callable[[str], None] = lambda text: None
+    ) -> None:
+        self._machines, self._plan, self._say = machines, plan, say
+        self.load = Load(machines, plan)
+        self.outcome = Outcome()
+
+    async def play(self, rounds: list[Round]) -> Outcome:
+        """All rounds, or up to the first breach."""
+        machines = self._machines
+        await machines.init(machines.all[: self._plan.copies])
+        await machines.whole()
+        self.load.start()
+        try:
+            for turn in rounds:
+                await self._round(turn)
+                self.outcome.rounds = turn.number
+        except BreachError as breach:
+            self.outcome.breach, self.outcome.after = str(breach), turn
+        finally:
+            await self.load.stop()
+        self.outcome.history = self.load.history[-200:]
+        self.outcome.writes, self.outcome.unsure = self.load.writes, self.load.unsure
+        self.outcome.grants = len(self.load.tokens)
+        return self.outcome
+
+    async def _round(self, turn: Round) -> None:
+        leader = await self._machines.leader()
+        hit = [self._machines.all[turn.at % len(self._machines.all)]]
+        if turn.fault == "zone_lost":
+            hit = [m for m in self._machines.all if m.zone == ZONES[turn.at]]
+        elif turn.fault == "leader_lost":
+            hit = [leader]
+        self._say(f"round {turn.number}: {turn.fault} {', '.join(m.name for m in hit)}")
+        self.load.longest_s, self.load.last_at = 0.0, time.monotonic()
+        began = time.monotonic()
+        await self._strike(turn.fault, hit)
+        try:
+            async with asyncio.timeout(ROUND_S):
+                await self._machines.whole()
+                self.outcome.whole_s.append(time.monotonic() - began)
+                await self._all_tell()
+        except TimeoutError:
+            raise BreachError(f"round {turn.number}: not whole after {ROUND_S:.0f} s") from None
+        if leader in hit:
+            self.outcome.gaps_s.append(max(self.load.longest_s, time.monotonic() - self.load.last_at))
+        if self.load.breach:
+            raise BreachError(self.load.breach)
+
+    async def _strike(self, fault: str, hit: list[Machine]) -> None:
+        machines = self._machines
+        if fault in ("paused", "deaf", "mute", "cut"):
+            for machine in hit:
+                if fault == "paused":
+                    machine.pause()
+                else:
+                    machines.isolate(machine, out=fault != "deaf", into=fault != "mute")
+            await asyncio.sleep(FAULT_S)
+            for machine in hit:
+                machine.wake()
+            machines.heal()
+            return
+        if fault == "earlier":
+            hit[0].keep_copy()
+            await asyncio.sleep(FAULT_S)
+        await asyncio.gather(*(m.kill(fault in ("lost", "leader_lost", "zone_lost")) for m in hit))
+        if fault == "torn":
+            hit[0].tear(7)
+        elif fault == "earlier":
+            hit[0].bring_back()
+        for machine in hit:
+            await machines.start(machine)
+
+    async def _all_tell(self) -> None:
+        """Every member's list has all that was acknowledged before it was asked; within the round's time it
+        has to
+        have heard of it."""
+        known = dict(self.load.acknowledged)
+        status = await self._machines.whole()
+        names = {member["id"].rpartition(".")[0] for member in status["members"]}
+        for machine in self._machines.all:
+            if machine.name in names:
+                await self._tells(machine, known)
+
+    async def _tells(self, machine: Machine, known: dict[str, int]) -> None:
+        client = Client([(HOST, machine.listen)])
+        try:
+            while True:
+                missing = ""
+                try:
+                    told = await client.call("GET", "/v1/endpoints")
+                except SilentError:
+                    told = None
+                if told is not None and told.status == 200:
+                    have = {row["instanceId"]: row.get("startedAtMs", 0) for row in told.body["instances"]}
+                    missing = next(
+                        (
+                            f"{key} = {version}, told {have.get(key)}"
+                            for key, version in known.items()
+                            if have.get(key, 0) < version
+                        ),
+                        "",
+                    )
+                    if not missing:
+                        return
+                    leads = (await self._machines.status(machine)).get("role") == "leader"
+                    if leads:
+                        raise BreachError(f"{machine.name} leads and has lost {missing}")
+                await asyncio.sleep(0.05)
+        finally:
+            client.close()
+
+
+async def torture(plan: Plan, rounds: list[Round], folder: Path, say: Callable[[str], None]) -> Outcome:
+    """Start the machines, play, end them."""
+    async with Machines(
+        folder, plan.machines, copies=plan.copies, gone_ms=plan.gone_ms, most_ttl_ms=TTL_MS
+    ) as machines:
+        return await Torture(machines, plan, say).play(rounds)
--- /dev/null
+++ b/tests/test_holding.py
@@ -0,0 +1,331 @@
+"""What is held is copied: real processes, with faults between them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import shutil
+import subprocess
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+from conftest import on_loop
+from test_registry import run
+
+from plumwall.faults.links import StandIn
+from plumwall.faults.machines import HOST, Machine, Machines
+from plumwall.faults.torture import PLANS, Plan, draw, read_plan, torture
+from yewstage.holding.identity import Folder
+from yewstage.holding.members import View, next_change, used_twice
+from yewstage.raft.disk import DiskError
+from yewstage.raft.messages import Member, Members
+from yewstage.registry.client import Client, SilentError, Told
+
+WORDS = {"hostPort": f"{HOST}:1", "ttlMs": 60000}
+
+
+def with_machines(
+    count: int, folder: Path, scenario: Callable[[Machines], Awaitable[None]], **changes: object
+) -> None:
+    async def played() -> None:
+        async with Machines(folder, count, gone_ms=1500.0, **changes) as machines:
+            await machines.init(machines.all[:3])
+            await machines.whole()
+            await scenario(machines)
+
+    on_loop(played, 100)
+
+
+async def register(client: Client, name: str) -> Told:
+    """Ask until somebody says yes, as those who register do."""
+    while True:
+        try:
+            async with asyncio.timeout(2.0):
+                told = await client.call("PUT", f"/v1/endpoints/{name}", WORDS)
+            if told.status == 200:
+                return told
+        except (SilentError, TimeoutError):
+            client.close()
+        await asyncio.sleep(0.02)
+
+
+async def listed(machine: Machine) -> set[str]:
+    """What one machine tells, once it tells anything."""
+    client = Client([(HOST, machine.listen)])
+    try:
+        while True:
+            told = await client.call("GET", "/v1/endpoints")
+            if told.status == 200:
+                return {row["instanceId"] for row in told.body["instances"]}
+            await asyncio.sleep(0.02)
+    finally:
+        client.close()
+
+
+async def eventually(machine: Machine, names: set[str]) -> None:
+    while not names <= await listed(machine):
+        await asyncio.sleep(0.02)
+
+
+def test_the_leaders_machine_is_lost_with_its_disk_again_and_again_and_nothing_promised_is_lost(
+    tmp_path: Path,
+) -> None:
+    async def scenario(machines: Machines) -> None:
+        client, names, ids, tokens = machines.client(), set(), set(), []
+        for round_ in range(3):
+            for i in range(5):
+                names.add(f"s{round_}-{i}")
+                await register(client, f"s{round_}-{i}")
+            told = await client.call("PUT", "/v1/leases/duty", {"holder": f"h{round_}", "ttlMs": 500})
+            while told.status != 200:
+                await asyncio.sleep(0.05)
+                told = await client.call("PUT", "/v1/leases/duty", {"holder": f"h{round_}", "ttlMs": 500})
+            tokens.append(told.body["token"])
+            leader = await machines.leader()
+            ids.add((await machines.status(leader))["id"])
+            await leader.kill(disk_too=True)
+            await register(client, f"during-{round_}")
+            names.add(f"during-{round_}")
+            await machines.start(leader)
+            await machines.whole()
+        assert tokens == sorted(set(tokens)) and len(ids) == 3
+        for machine in machines.all:
+            await eventually(machine, names)
+        assert not ids & {m["id"] for m in (await machines.whole())["members"]}
+        client.close()
+
+    with_machines(3, tmp_path, scenario)
+
+
+def test_a_majority_that_is_lost_is_told_and_nothing_is_vouched_for(tmp_path: Path) -> None:
+    async def scenario(machines: Machines) -> None:
+        client = machines.client()
+        await register(client, "s-1")
+        client.close()
+        kept, *lost = machines.all
+        for machine in lost:
+            await machine.kill(disk_too=True)
+        alone = Client([(HOST, kept.listen)])
+        while (told := await alone.call("PUT", "/v1/endpoints/s-2", WORDS)).status == 421:
+            await asyncio.sleep(0.05)  # it still believes in a leader that is gone
+        assert told.status == 503
+        while (told := await alone.call("GET", "/v1/endpoints")).status == 200:
+            await asyncio.sleep(0.05)  # as old as the setting lets it be
+        assert "old" in told.body["error"]
+        done = await asyncio.to_thread(run, "plumwall", "holding", "status", "--at", f"{HOST}:{kept.listen}")
+        assert done.returncode == 1 and "a majority is not there, writes are refused" in done.stdout
+        for machine in lost:  # they come back empty: two without a vote do not make a majority
+            await machines.start(machine)
+        assert (await alone.call("PUT", "/v1/endpoints/s-2", WORDS)).status == 503
+        alone.close()
+
+    with_machines(3, tmp_path, scenario, most_age_ms=700.0)
+
+
+def test_a_watch_goes_on_at_its_revision_on_another_replica_and_never_back(tmp_path: Path) -> None:
+    async def scenario(machines: Machines) -> None:
+        client = machines.client()
+        told = await register(client, "s-1")
+        leader = await machines.leader()
+        behind, other = [m for m in machines.all if m is not leader]
+        await eventually(behind, {"s-1"})
+        machines.isolate(behind, out=False)  # it is told nothing more
+        told = await register(client, "s-2")
+        await eventually(other, {"s-2"})
+        watch = Client([(HOST, behind.listen)])
+        waiting = asyncio.create_task(
+            watch.call("GET", f"/v1/endpoints?after={told.body['revision']}&wait_ms=20000", None, 20.0)
+        )
+        await asyncio.sleep(0)
+        machines.heal()
+        await register(client, "s-3")
+        told = await waiting
+        assert [row["instanceId"] for row in told.body["instances"]] == ["s-3"] and not told.body["reset"]
+        watch.close()
+        client.close()
+
+    with_machines(3, tmp_path, scenario)
+
+
+def test_a_machine_with_the_folder_of_an_earlier_time_is_a_new_member(tmp_path: Path) -> None:
+    async def scenario(machines: Machines) -> None:
+        client = machines.client()
+        await register(client, "s-1")
+        machine = machines.all[1]
+        before = (await machines.status(machine))["id"]
+        machine.keep_copy()
+        await register(client, "s-2")
+        await machine.kill()
+        machine.bring_back()
+        await machines.start(machine)
+        assert any("brought back from an earlier time" in line for line in machine.lines)
+        status = await machines.whole()
+        assert before not in {m["id"] for m in status["members"]}
+        await eventually(machine, {"s-1", "s-2"})
+        assert await machine.end() == 0
+        client.close()
+
+    with_machines(3, tmp_path, scenario)
+
+
+def test_writers_outlive_lost_machines_a_lost_zone_pauses_and_one_way_cuts(tmp_path: Path) -> None:
+    plan = Plan(
+        machines=6,
+        copies=3,
+        writers=4,
+        keys=4,
+        gone_ms=1500.0,
+        zone_every=4,
+        faults={"lost": 1.0, "leader_lost": 2.0, "deaf": 1.0, "paused": 1.0, "torn": 1.0},
+    )
+    seen: list[str] = []
+
+    async def played() -> None:
+        outcome = await torture(plan, draw(plan, 8, 3), tmp_path, seen.append)
+        assert not outcome.breach and outcome.rounds == 8, (outcome, seen)
+        assert outcome.writes > 100 and len(outcome.gaps_s) >= 1
+
+    on_loop(played, 200)
+
+
+def test_two_processes_of_one_name_are_told_of_and_neither_is_let_in(tmp_path: Path) -> None:
+    members = tuple(Member(f"n{i}.1", f"n{i}", f"z{i}", "", "") for i in range(3))
+    twins = (Member("n2.2", "n2", "z2", "", ""), Member("n2.3", "n2", "z2", "", ""))
+    view = View("n0.1", "g", members, {"n2.1": 9000.0}, twins, frozenset(), 3, 5000.0, 4000.0)
+    assert used_twice(view) == ["n2"] and next_change(view) is None
+
+
+def changes(
+    members: Members, silent: dict[str, float], present: tuple[Member, ...], caught: set[str]
+) -> list[set[str]]:
+    """The members after each change, each learner catching up at once, until nothing is left to do."""
+    steps = []
+    while True:
+        view = View("n0.1", "g", members, silent, present, frozenset(caught), 3, 5000.0, 4000.0)
+        after = next_change(view)
+        if after is None:
+            return steps
+        members = after
+        caught |= {m.id for m in members}
+        steps.append({m.id + ("" if m.voter else "?") for m in members})
+
+
+def test_a_lost_copy_is_replaced_before_it_is_taken_out_by_a_machine_of_its_zone() -> None:
+    members = tuple(Member(f"n{i}.1", f"n{i}", f"z{i}", "", "") for i in range(3))
+    spare = (Member("n4.1", "n4", "z1", "", ""), Member("n5.1", "n5", "z2", "", ""))
+    assert changes(members, {"n2.1": 6000.0}, (*members[:2], *spare), set()) == [
+        {"n0.1", "n1.1", "n2.1", "n5.1?"},
+        {"n0.1", "n1.1", "n2.1", "n5.1"},
+        {"n0.1", "n1.1", "n5.1"},
+    ]
+    assert changes(members, {"n2.1": 4500.0}, (*members[:2], *spare), set()) == []  # it may come back yet
+    reborn = Member("n2.9", "n2", "z2", "", "")
+    assert changes(members, {"n2.1": 4500.0}, (*members[:2], reborn), set())[-1] == {"n0.1", "n1.1", "n2.9"}
+
+
+def test_a_replacement_that_dies_half_copied_goes_and_the_old_copy_stays() -> None:
+    members = tuple(Member(f"n{i}.1", f"n{i}", f"z{i}", "", "") for i in range(3))
+    learner = Member("n5.1", "n5", "z2", "", "", False)
+    view = View(
+        "n0.1",
+        "g",
+        (*members, learner),
+        {"n2.1": 6000.0, "n5.1": 4500.0},
+        members[:2],
+        frozenset(),
+        3,
+        5000.0,
+        4000.0,
+    )
+    assert next_change(view) == members
+
+
+@pytest.mark.parametrize(
+    ("changed", "says"),
+    [
+        ({"copies": 2}, "copies: must be odd"),
+        ({"peers": {"m9": "nowhere"}}, "peers.m9: 'nowhere' is not HOST:PORT"),
+        ({"election_ms": 100, "heartbeat_ms": 50}, "election_ms: must be at least three times"),
+        ({"heart": 1}, "heart: is no field of this"),
+    ],
+)
+def test_a_bad_configuration_ends_the_start_with_one_line(
+    tmp_path: Path, changed: dict[str, object], says: str
+) -> None:
+    raw = {
+        "cluster": "c",
+        "name": "m0",
+        "zone": "a",
+        "peer": f"{HOST}:0",
+        "listen": f"{HOST}:0",
+        "ops": f"{HOST}:0",
+        "folder": str(tmp_path / "state"),
+        "peers": {},
+        **changed,
+    }
+    path = tmp_path / "holding.json"
+    path.write_text(json.dumps(raw))
+    done: subprocess.CompletedProcess[str] = run("yewstage.holding", "--config", str(path))
+    assert done.returncode == 2 and len(done.stderr.splitlines()) == 1 and says in done.stderr
+
+
+def test_a_folder_of_another_cluster_or_a_later_format_is_refused_with_what_to_do(tmp_path: Path) -> None:
+    Folder(tmp_path, "lagos", "m0").close()
+    with pytest.raises(DiskError, match="is of m0 in cluster lagos, not of m0 in abuja: mend"):
+        Folder(tmp_path, "abuja", "m0")
+    meta = tmp_path / "meta"
+    meta.write_text(meta.read_text().replace('"format":1', '"format":2'))
+    with pytest.raises(DiskError, match="format 2, this program reads 1: start the program that wrote it"):
+        Folder(tmp_path, "lagos", "m0")
+
+
+def test_a_folder_is_the_same_disk_after_a_restart_and_another_after_a_copy(tmp_path: Path) -> None:
+    first = Folder(tmp_path / "a", "c", "m0")
+    first.close()
+    again = Folder(tmp_path / "a", "c", "m0")
+    assert again.id == first.id and not again.older
+    again.close()
+    shutil.copytree(tmp_path / "a", tmp_path / "b")
+    copy = Folder(tmp_path / "b", "c", "m0")
+    assert copy.id != first.id and copy.older == first.id and (tmp_path / "b" / "set-aside" / "meta").exists()
+
+
+def test_a_stand_in_loses_one_direction_holds_the_other_and_ends_what_has_a_hole() -> None:
+    async def scenario() -> None:
+        got: list[bytes] = []
+
+        async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while data := await reader.read(100):
+                got.append(data)
+                writer.write(data.upper())
+
+        server = await asyncio.start_server(echo, HOST, 0)
+        link = StandIn(server.sockets[0].getsockname()[:2])
+        reader, writer = await asyncio.open_connection(*await link.start())
+        writer.write(b"one")
+        assert await reader.readexactly(3) == b"ONE"
+        link.hold(there=False)
+        writer.write(b"two")
+        while len(got) < 2:
+            await asyncio.sleep(0)
+        link.heal()
+        assert await reader.readexactly(3) == b"TWO"
+        link.cut(back=False)
+        writer.write(b"three")
+        while not link.there.lost:
+            await asyncio.sleep(0)
+        link.heal()
+        assert await reader.read() == b"" and got == [b"one", b"two"]
+        await link.stop()
+        server.close()
+
+    on_loop(scenario, 20)
+
+
+def test_a_plan_names_the_field_that_is_wrong(tmp_path: Path) -> None:
+    assert read_plan("holding").machines == 9
+    path = tmp_path / "bad.toml"
+    path.write_text((PLANS / "holding.toml").read_text().replace("deaf", "dead"))
+    with pytest.raises(ValueError, match="faults.dead: must be one of"):
+        read_plan(str(path))
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -22,6 +22,7 @@
 from yewstage.registry import config as config_module
 from yewstage.registry.__main__ import load
 from yewstage.registry.client import Client, Duty, SilentError, Told, Watch
+from yewstage.registry.ledger import Alone
 from yewstage.registry.log import FullError, Log
 from yewstage.registry.server import READ_S, RETRY_S, Registry
 
@@ -57,8 +58,9 @@
         loop = asyncio.get_running_loop()
         self.files = Log(config.folder)
         store = load(config, self.files, loop.time() * 1000, wall_ms)
-        self.registry = Registry(config, store, self.files, loop, random.Random(1))
-        self.registry.now = lambda: loop.time() * 1000 + self.ahead_ms
+        ledger = Alone(store, self.files, config.snapshot_entries, loop)
+        ledger.now = lambda: loop.time() * 1000 + self.ahead_ms
+        self.registry = Registry(config, ledger, loop, random.Random(1))
         self.store = store
         _, self.port = await self.registry.start()
         self.client = Client([(LOOP, self.port)], random.Random(1))
@@ -443,7 +445,7 @@
         token = (await service.call("PUT", "leases/d", {"holder": "x", "ttlMs": 5000})).body["token"]
         before = service.store.revision
         monkeypatch.setattr(time, "time", lambda: 1.0)  # while it runs, and over a restart
-        assert not service.store.overdue(service.registry.now())
+        assert not service.store.overdue(service.registry.ledger.now())
         await service.stop()
         await service.start(wall_ms=1.0)
         assert await service.ids() == ["s-1", "s-2", "s-3"] and service.store.revision == before
@@ -482,7 +484,7 @@
         await asyncio.sleep(0)
         service.ahead_ms += 4000
         for name in ("s-1", "s-2"):
-            service.store.renew(name, None, service.registry.now())
+            service.store.renew(name, None, service.registry.ledger.now())
         service.ahead_ms += 3000
         told = await watch
         assert told.body["instances"] == [{"instanceId": "s-3", "lifecycle": "gone"}]
@@ -611,7 +613,7 @@
         assert frozen.duty.held() and not other.duty.held()
         service.ahead_ms += 6000  # the frozen one's clock stands still with it
         for name in ("s-1", "s-2", "s-3"):
-            service.store.renew(name, None, service.registry.now())
+            service.store.renew(name, None, service.registry.ledger.now())
         await other.duty.hold()
         assert other.duty.held() and frozen.duty.held()  # it does not know better yet
         await frozen.round()
--- /dev/null
+++ b/yewstage/holding/__main__.py
@@ -0,0 +1,101 @@
+"""A holding process: start-up, signals, exit."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import logging
+import random
+import signal
+import sys
+
+import uvloop
+
+from yewstage.holding.config import HoldingConfig, holding
+from yewstage.holding.identity import Folder
+from yewstage.holding.node import Node
+from yewstage.log import FORMATS, Event, at, set_up
+from yewstage.metrics import Figures
+from yewstage.net.config import ConfigError
+from yewstage.net.ops import Ops
+from yewstage.raft.disk import DiskError
+from yewstage.registry.config import read
+
+log = logging.getLogger(__name__)
+
+
+async def serve(config: HoldingConfig, folder: Folder) -> int:
+    """Run until SIGTERM or SIGINT: 0; until the disk fails: 1."""
+    loop, over = asyncio.get_running_loop(), asyncio.Event()
+    node = Node(config, folder, loop, random.Random(), over)
+    if folder.older:
+        log.warning(
+            Event(
+                "older_disk",
+                "the folder was brought back from an earlier time of {older}: "
+                "set aside, this is {id} and waits to be let in",
+                older=folder.older,
+                id=folder.id,
+            )
+        )
+    if node.cut:
+        log.warning(
+            Event(
+                "torn_record",
+                "a torn last record of {bytes} bytes was cut off: nobody was told of it",
+                bytes=node.cut,
+            )
+        )
+    figures = Figures(lambda: [*node.registry.collect(), *node.figures()])
+    ops = Ops(loop, node.registry.ready, figures.text)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, over.set)
+    log.info(at("ops", "operators' address", await ops.start(config.service.ops)))
+    address = await node.start()
+    log.info(
+        Event(
+            "restored",
+            "{id}: term {term}, index {index}",
+            id=folder.id,
+            term=node.ledger.group.replica.term,
+            index=node.ledger.group.replica.last,
+        )
+    )
+    log.info(at("listening", "listening on", address))
+    await over.wait()
+    ops.stop()
+    await node.stop()
+    log.info(Event("ended", "ended"))
+    if node.failure:
+        print(node.failure, file=sys.stderr)
+    return 1 if node.failure else 0
+
+
+def main() -> int:
+    """0 after SIGTERM; 1 if the disk failed; 2 with one plain line if configuration, folder or address are no
+    good."""
+    parser = argparse.ArgumentParser(prog="python -m yewstage.holding", description=__doc__)
+    parser.add_argument("--config", required=True, metavar="FILE")
+    parser.add_argument("--log-format", choices=FORMATS, help="goes before the file's `log`")
+    options = parser.parse_args()
+    try:
+        config = holding(read(options.config))
+        folder = Folder(config.service.folder, config.cluster, config.name)
+    except (ConfigError, DiskError) as error:
+        print(error, file=sys.stderr)
+        return 2
+    set_up(config.name, options.log_format or config.service.log, {"service": config.name})
+    try:
+        return uvloop.run(serve(config, folder))
+    except DiskError as error:
+        print(error, file=sys.stderr)
+        return 2
+    except OSError as error:
+        print(f"listen: {error}", file=sys.stderr)
+        return 2
+    finally:
+        folder.close()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/yewstage/holding/config.py
@@ -0,0 +1,62 @@
+"""The configuration of a holding process: a JSON file to typed values."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from yewstage.net.config import Address, ConfigError, address
+from yewstage.raft.core import Settings
+from yewstage.registry.config import NAME, Config, Fields, service_fields
+
+
+@dataclass(slots=True, frozen=True)
+class HoldingConfig:
+    """What a holding process is told when it starts."""
+
+    cluster: str  # who belongs together; a folder of another one is refused
+    name: str  # of the machine
+    zone: str
+    peer: Address  # where the others reach it
+    peers: Mapping[str, Address]  # the others by name, as they are reached from here
+    copies: int  # voters that are wanted, and kept
+    gone_ms: float  # silence after which a member is replaced, where there is somebody to do it
+    settings: Settings
+    service: Config
+
+
+def holding(raw: Mapping[str, object]) -> HoldingConfig:
+    """A holding process's configuration; ConfigError names what is wrong."""
+    fields = Fields(raw)
+    known = Settings()
+    config = HoldingConfig(
+        cluster=fields.name("cluster"),
+        name=fields.name("name"),
+        zone=fields.optional("zone"),
+        peer=fields.address("peer"),
+        peers=_peers(raw.get("peers")),
+        copies=fields.whole("copies", 3, 1, 7),
+        gone_ms=fields.number("gone_ms", 30_000.0, 100.0),
+        settings=Settings(
+            heartbeat_ms=fields.number("heartbeat_ms", known.heartbeat_ms, 1.0),
+            election_ms=fields.number("election_ms", known.election_ms, 10.0),
+        ),
+        service=service_fields(fields),
+    )
+    fields.done("peers")
+    if config.copies % 2 == 0:
+        raise ConfigError("copies: must be odd: an even number bears no more losses than one less")
+    if config.settings.election_ms < 3 * config.settings.heartbeat_ms:
+        raise ConfigError("election_ms: must be at least three times heartbeat_ms")
+    if config.name in config.peers:
+        raise ConfigError(f"peers.{config.name}: is this process itself")
+    return config
+
+
+def _peers(raw: object) -> dict[str, Address]:
+    if not isinstance(raw, dict):
+        raise ConfigError("peers: must be an object of addresses by name")
+    for name in raw:
+        if not NAME.fullmatch(name):
+            raise ConfigError(f"peers.{name}: is no name")
+    return {name: address({f"peers.{name}": at}, f"peers.{name}") for name, at in raw.items()}
--- a/yewstage/net/serve.py
+++ b/yewstage/net/serve.py
@@ -22,7 +22,9 @@
 AHEAD = 4  # calls that may have come before those in front of them are answered
 SWEEP_S = 0.5
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 409: b"Conflict",
-           413: b"Content Too Large", 500: b"Internal Server Error", 503: b"Service Unavailable"}
+           413: b"Content Too Large", 421: b"Misdirected Request",
+           500: b"Internal Server Error", 503:
+           b"Service Unavailable"}
 
 
 @dataclass(slots=True, frozen=True)
--- a/yewstage/registry/__main__.py
+++ b/yewstage/registry/__main__.py
@@ -16,6 +16,7 @@
 from yewstage.net.config import ConfigError
 from yewstage.net.ops import Ops
 from yewstage.registry.config import Config, read, service
+from yewstage.registry.ledger import Alone
 from yewstage.registry.log import Log, LogError
 from yewstage.registry.server import Registry
 from yewstage.registry.store import Store
@@ -44,7 +45,8 @@
     if files.cut:
         log.warning(Event("torn_entry", "a torn last entry of {bytes} bytes was cut off: nobody was told "
                           "of it", bytes=files.cut))
-    registry = Registry(config, store, files, loop, random.Random())
+    ledger = Alone(store, files, config.snapshot_entries, loop)
+    registry = Registry(config, ledger, loop, random.Random())
     ops = Ops(loop, registry.ready, registry.figures)
     over = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -56,7 +58,9 @@
     log.info(at("listening", "listening on", address))
     await over.wait()
     ops.stop()
+    await ledger.finished()
     await registry.stop()
+    ledger.close()
     log.info(Event("ended", "ended"))
 
 
--- a/yewstage/registry/client.py
+++ b/yewstage/registry/client.py
@@ -14,7 +14,7 @@
 
 from yewstage import interface as api
 from yewstage.log import Event
-from yewstage.net.config import Address
+from yewstage.net.config import Address, ConfigError, address
 from yewstage.net.discovery import Listing, parse_listing
 from yewstage.net.http1 import LONGEST_LIST, Dial, Reply, ReplyProtocol
 from yewstage.net.stats import Use
@@ -41,11 +41,15 @@
 
 
 class Client:
-    """Calls to the service, one at a time, over one connection; each failure moves on to the next address."""
+    """Calls to the service, one at a time, over one connection; each failure moves on to the next address.
+
+    Where the service is replicated a write may be told who leads: it is asked there, once.
+    """
 
     def __init__(self, addresses: Sequence[Address], rng: random.Random | None = None) -> None:
         self._addresses, self._rng = tuple(addresses), rng or random.Random()
         self._at = self._rng.randrange(len(self._addresses))
+        self._leader: Address | None = None  # where writes go, as one of them told us
         self._line: _Line | None = None
         self._turn = asyncio.Lock()
         self._failures = 0
@@ -55,13 +59,16 @@
         """One call; SilentError where nothing sensible comes back. It is not repeated here."""
         async with self._turn:
             try:
-                reply = await self._exchange(method, path, body, CALL_S + wait_s)
-                told = _told(reply)
-            except (SilentError, ValueError) as error:
+                told = _told(await self._exchange(method, path, body, CALL_S + wait_s))
+                if told.status == 421:  # nothing was done there; it told us who does it
+                    self.close()
+                    self._leader = address(told.body, "leader")
+                    told = _told(await self._exchange(method, path, body, CALL_S + wait_s))
+            except (SilentError, ValueError, ConfigError) as error:
                 self._leave()
                 raise SilentError(str(error)) from None
-            if told.status == 503:
-                self._failures += 1
+            if told.status in (421, 503):
+                self._leave()  # another one may know better
             else:
                 self._failures = 0
             return told
@@ -84,6 +91,7 @@
 
     def _leave(self) -> None:
         self.close()
+        self._leader = None
         self._failures += 1
         self._at = (self._at + 1) % len(self._addresses)
 
@@ -93,7 +101,7 @@
         request = (f"{method} {path} HTTP/1.1\r\nHost: registry\r\nContent-Type: application/json\r\n"
                    f"Content-Length: {len(data)}\r\n\r\n").encode() + data
         if self._line is None or self._line.over:
-            self._line = await _dial(self._addresses[self._at])
+            self._line = await _dial(self._leader or self._addresses[self._at])
         try:
             async with asyncio.timeout(within_s):
                 return await self._line.exchange(request)
--- a/yewstage/registry/config.py
+++ b/yewstage/registry/config.py
@@ -30,6 +30,7 @@
     most_ttl_ms: float
     settle_ms: float  # how long a store that begins empty waits for its servers before it tells a list
     snapshot_entries: int  # of the log, after which a snapshot takes their place
+    most_age_ms: float  # what may be older than this is not told
     rules: Rules
     log: str  # text or json
 
@@ -64,6 +65,13 @@
 def service(raw: Mapping[str, object]) -> Config:
     """The list service's configuration; ConfigError names what is wrong."""
     fields = Fields(raw)
+    config = service_fields(fields)
+    fields.done()
+    return config
+
+
+def service_fields(fields: Fields) -> Config:
+    """The same, among fields that belong to others."""
     config = Config(
         listen=fields.address("listen"), ops=fields.address("ops"), folder=Path(fields.text("folder")),
         watches=fields.whole("watches", 5000, 1), connections=fields.whole("connections", 6000, 1),
@@ -71,12 +79,12 @@
         most_ttl_ms=fields.number("most_ttl_ms", 60000.0, 1.0),
         settle_ms=fields.number("settle_ms", 10000.0, 0.0),
         snapshot_entries=fields.whole("snapshot_entries", 10000, 1),
+        most_age_ms=fields.number("most_age_ms", 10000.0, 1.0),
         rules=Rules(history=fields.whole("history", 10000, 1),
                     most_gone=fields.number("most_gone", 0.5, 0.0, 1.0),
                     most_unwell=fields.number("most_unwell", 0.5, 0.0, 1.0),
                     drift=fields.number("drift", 0.01, 0.0, 0.5)),
         log=fields.choice("log", FORMATS))
-    fields.done()
     if config.least_ttl_ms > config.most_ttl_ms:
         raise ConfigError("least_ttl_ms: is above most_ttl_ms")
     if config.watches > config.connections:
--- a/yewstage/registry/server.py
+++ b/yewstage/registry/server.py
@@ -8,14 +8,15 @@
 import logging
 import random
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
+from dataclasses import asdict
 
 from yewstage.log import Event
 from yewstage.metrics import Figures, Metric, count, counts, gauge, gauges
 from yewstage.net.config import ConfigError
 from yewstage.net.serve import Answer, Call, Caller, Listener, Manners
 from yewstage.registry.config import NAME, Config, Fields
-from yewstage.registry.log import FullError, Log
+from yewstage.registry.ledger import ElsewhereError, LaterError, Ledger, Plan
+from yewstage.registry.log import FullError
 from yewstage.registry.store import GONE, READY, Entry, Record, RefusedError, Store
 
 log = logging.getLogger(__name__)
@@ -44,22 +45,22 @@
 class Registry:
     """Calls in, answers out."""
 
-    def __init__(self, config: Config, store: Store, files: Log, loop: asyncio.AbstractEventLoop,
-                 rng: random.Random) -> None:
-        self.config, self.store, self.files, self._loop, self._rng = config, store, files, loop, rng
+    def __init__(self, config: Config, ledger: Ledger, loop: asyncio.AbstractEventLoop, rng: random.Random
+                 ) -> None:
+        self.config, self.ledger, self._loop, self._rng = config, ledger, loop, rng
+        ledger.changed = self._changed
         manners = Manners(config.connections, CALL_S, READ_S, IDLE_S, failed)
         self.listener = Listener(loop, self.handle, manners)
         self._watches: dict[Caller, tuple[int, asyncio.TimerHandle]] = {}  # who waits behind which revision
         self._encoded: dict[int | None, bytes] = {}  # since a revision, or the whole list; as of now
-        self._disk = ThreadPoolExecutor(1, "disk")  # a sync takes milliseconds: nobody else waits for it
-        self._writing = asyncio.Lock()
         self._tasks: set[asyncio.Task] = set()
-        self._heard = bool(store.records)  # of a server, in this life or before
-        self._settled_at = loop.time() + (0.0 if self._heard else config.settle_ms / 1000)
+        known = bool(ledger.store.records)
+        self._settled_at = loop.time() + (0.0 if known else config.settle_ms / 1000)
+        self._heard = known  # of a server, in this life or before
         self._told_at = -TOLD_S
-        self._figures = Figures(self._collect)
+        self._figures = Figures(self.collect)
         self.writes, self.refused, self.failed, self.renewals, self.expired = 0, 0, 0, 0, 0
-        self.turned_away = self.turned_away_early = self.changes_told = 0
+        self.turned_away = self.turned_away_early = self.turned_away_old = self.changes_told = 0
 
     async def start(self) -> tuple[str, int]:
         """Listen, and begin to look for servers whose time is up."""
@@ -67,23 +68,23 @@
         return await self.listener.start(self.config.listen)
 
     async def stop(self) -> None:
-        """End all connections, finish the write that is under way."""
+        """End all connections and whatever waits."""
         self.listener.stop()
-        async with self._writing:
-            for task in self._tasks:
-                task.cancel()
-        self._disk.shutdown()
+        for task in self._tasks:
+            task.cancel()
 
     def ready(self) -> bool:
         """Whether lists are told: a store that began empty has waited for its servers, and heard some.
 
         Danger: to a gateway an empty list says that all servers are gone. One that knows none says nothing.
         """
+        self._heard = self._heard or bool(self.store.records)
         return self._heard and self._loop.time() >= self._settled_at
 
-    def now(self) -> float:
-        """The store's time: never set back."""
-        return self._loop.time() * 1000
+    @property
+    def store(self) -> Store:
+        """What has come about, as it is known here."""
+        return self.ledger.store
 
     def handle(self, call: Call, caller: Caller) -> Answer | None:
         """One call; None if it is answered later."""
@@ -122,10 +123,17 @@
         if not self.ready():
             self.turned_away_early += 1
             return self._later("the list is not complete yet")
+        age_ms = self.ledger.age_ms()
+        if age_ms > self.config.most_age_ms:
+            self.turned_away_old += 1
+            return self._later(f"what is known here may be {age_ms / 1000:.0f} s old")
         if after is None:
             return self._listing(None)
         changes = self.store.changes(after)
-        if changes or changes is None or not wait_ms:
+        ahead = after > self.store.revision and self.ledger.live() is None  # another replica has told more
+        if ahead and not wait_ms:
+            return self._later("not as far as that yet")
+        if not ahead and (changes or changes is None or not wait_ms):
             return self._listing(after if changes is not None else None)
         if len(self._watches) >= self.config.watches:
             self.turned_away += 1
@@ -153,12 +161,16 @@
             if len(self._encoded) >= KEPT_ENCODINGS:
                 self._encoded.pop(next(iter(self._encoded)))
             self._encoded[after] = body
-        return Answer(200, body, b"application/json")
+        return Answer(200, body, b"application/json", b"X-Age-Ms: %d\r\n" % self.ledger.age_ms())
 
     def _waited(self, caller: Caller) -> None:
-        """Nothing has changed in its time."""
+        """Nothing has changed in its time, or nothing was heard of what has."""
         after, _ = self._watches.pop(caller)
-        caller.answer(self._listing(after))
+        if self.ledger.age_ms() > self.config.most_age_ms or after > self.store.revision:
+            self.turned_away_old += 1
+            caller.answer(self._later("what is known here may be too old"))
+        else:
+            caller.answer(self._listing(after))
 
     def _unwatch(self, caller: Caller) -> None:
         _, timer = self._watches.pop(caller, (0, None))
@@ -166,29 +178,36 @@
             timer.cancel()
 
     def _changed(self) -> None:
-        """Tell all who wait. They are let go first: some ask again at once."""
+        """Tell all who wait. They are let go first: some ask again at once. Who knows more than we do waits
+        on."""
         self._encoded.clear()
+        revision = self.store.revision
         watches, self._watches = self._watches, {}
         for caller, (after, timer) in watches.items():
+            if after >= revision:
+                self._watches[caller] = after, timer
+                continue
             timer.cancel()
             self.changes_told += 1
             caller.answer(self._listing(after))
 
     # --- Writes -------------------------------------------------------------------------------------------
 
-    def _write(self, caller: Caller, plan: Callable[[], Entry | None],
-               answer: Callable[[], dict[str, object]]) -> None:
+    def _write(self, caller: Caller, plan: Plan, answer: Callable[[], dict[str, object]]) -> None:
         """Answer a write once it is durable."""
         self._spawn(self._written(caller, plan, answer))
 
-    async def _written(self, caller: Caller, plan: Callable[[], Entry | None],
-                       answer: Callable[[], dict[str, object]]) -> None:
+    async def _written(self, caller: Caller, plan: Plan, answer: Callable[[], dict[str, object]]) -> None:
         try:
-            await self._bring_about(plan)
+            self.writes += await self.ledger.write(plan)
             caller.answer(said(200, answer()))
         except RefusedError as error:
             self.refused += 1
             caller.answer(failed(error.status, error.why, error.field))
+        except ElsewhereError as error:
+            caller.answer(self._elsewhere(error))
+        except LaterError as error:
+            caller.answer(self._later(str(error)))
         except FullError as error:
             log.error(Event("not_durable", "a write could not be made durable: {error}", error=str(error)))
             self.failed += 1
@@ -197,45 +216,32 @@
             log.exception(Event("write_failed", "a write failed"))
             caller.answer(failed(500, "the service failed"))
 
-    async def _bring_about(self, plan: Callable[[], Entry | None]) -> bool:
-        """One write at a time: planned, made durable, then seen."""
-        async with self._writing:
-            entry = plan()
-            if entry is None:
-                return False
-            await self._loop.run_in_executor(self._disk, self.files.append, entry)
-            before = self.store.revision
-            self.store.apply(entry, self.now())
-            self.writes += 1
-            self._heard = self._heard or bool(self.store.records)
-            if self.store.revision != before:
-                self._changed()
-            if self.files.entries >= self.config.snapshot_entries:
-                await self._compact()
-            return True
-
-    async def _compact(self) -> None:
-        try:
-            await self._loop.run_in_executor(self._disk, self.files.compact, self.store.snapshot())
-        except FullError as error:
-            log.error(Event("no_snapshot", "no snapshot: {error}; the log goes on", error=str(error)))
+    def _elsewhere(self, error: ElsewhereError) -> Answer:
+        """Writes go to the leader: told where that is; come back later while there is none."""
+        if not error.at:
+            return self._later(str(error))
+        return said(421, {"error": str(error), "leader": error.at})
 
     async def _expire(self) -> None:
         """Let servers go whose time is up, as long as it is not most of them."""
         while True:
             await asyncio.sleep(EXPIRE_S)
-            late = self.store.overdue(self.now())
-            if self.store.held_back and self._loop.time() - self._told_at >= TOLD_S:
+            store = self.ledger.live()
+            if store is None:
+                continue
+            late = store.overdue(self.ledger.now())
+            if store.held_back and self._loop.time() - self._told_at >= TOLD_S:
                 self._told_at = self._loop.time()
                 log.warning(Event("held_back", "{silent} of {servers} servers are silent: likelier it is "
-                                  "we who hear nothing; all are kept", silent=self.store.held_back,
-                                  servers=len(self.store.records)))
+                                  "we who hear nothing; all are kept", silent=store.held_back,
+                                  servers=len(store.records)))
             for name in late:
                 try:
-                    if await self._bring_about(lambda name=name: self.store.plan_expire(name, self.now())):
+                    if await self.ledger.write(lambda store, now, name=name: store.plan_expire(name, now)):
+                        self.writes += 1
                         self.expired += 1
                         log.info(Event("expired", "{server} has not renewed in time", server=name))
-                except FullError as error:
+                except (FullError, ElsewhereError, LaterError) as error:
                     log.error(Event("not_expired", "{server} could not be let go: {error}", server=name,
                                     error=str(error)))
                     break
@@ -260,31 +266,48 @@
         expect, fence = _expect(fields), _fence(fields)
         fields.done()
 
-        def plan() -> Entry | None:
-            self._check(fence)
-            entry = self.store.plan_register(record, expect)
+        def plan(store: Store, now: float) -> Entry | None:
+            entry = store.plan_register(record, expect)
             if entry is None:
-                self.store.renew(name, None, self.now())
+                store.renew(name, None, now)
+            return entry
+
+        self._change(caller, name, fence, plan)
+
+    def _change(self, caller: Caller, name: str, fence: tuple[str, int] | None, plan: Plan) -> None:
+        """A write of one server's record, by the holder of a duty where a fence says so; answered with what
+        the
+        record was then, whatever came of it since."""
+        told: dict[str, object] = {}
+
+        def fenced(store: Store, now: float) -> Entry | None:
+            if fence is not None:
+                store.check_token(*fence)
+            entry = plan(store, now)
+            told.update(_told(store, name, entry))
             return entry
 
-        self._write(caller, plan, lambda: self._told(name))
+        self._write(caller, fenced, lambda: told)
 
-    def _renew(self, call: Call, caller: Caller, name: str) -> Answer:
+    def _renew(self, call: Call, caller: Caller, name: str) -> None:
         fields = _fields(call)
         registered = fields.whole("registered", 0, 0) or None
         fields.done()
-        record = self.store.renew(name, registered, self.now())
-        self.renewals += 1
-        return said(200, {"revision": record.revision, "registered": record.registered,
-                          "ttlMs": record.ttl_ms})
+        told: dict[str, object] = {}
+
+        def plan(store: Store, now: float) -> None:
+            record = store.renew(name, registered, now)
+            told.update(revision=record.revision, registered=record.registered, ttlMs=record.ttl_ms)
+            self.renewals += 1
+
+        self._write(caller, plan, lambda: told)
 
     def _drain(self, call: Call, caller: Caller, name: str) -> None:
         fields = _fields(call)
         draining = fields.flag("draining") if fields.has("draining") else True
         expect, fence = _expect(fields), _fence(fields)
         fields.done()
-        self._write(caller, lambda: self._check(fence) or self.store.plan_drain(name, draining, expect),
-                    lambda: self._told(name))
+        self._change(caller, name, fence, lambda store, now: store.plan_drain(name, draining, expect))
 
     def _verdict(self, call: Call, caller: Caller, name: str) -> None:
         fields = _fields(call)
@@ -292,36 +315,24 @@
         fields.done()
         if fence is None:
             raise ConfigError("lease: a verdict is written by the holder of a duty")
-        self._write(caller, lambda: self._check(fence) or self.store.plan_verdict(name, well),
-                    lambda: self._told(name))
+        self._change(caller, name, fence, lambda store, now: store.plan_verdict(name, well))
 
     def _deregister(self, call: Call, caller: Caller, name: str) -> None:
         fields = _fields(call)
         expect, fence = _expect(fields), _fence(fields)
         fields.done()
-        self._write(caller, lambda: self._check(fence) or self.store.plan_deregister(name, expect),
-                    lambda: {"revision": self.store.revision})
-
-    def _check(self, fence: tuple[str, int] | None) -> None:
-        if fence is not None:
-            self.store.check_token(*fence)
-
-    def _told(self, name: str) -> dict[str, object]:
-        """What a server's record is now; it may have gone again since it was written."""
-        record = self.store.records.get(name)
-        if record is None:
-            return {"revision": self.store.revision}
-        return {"revision": record.revision, "registered": record.registered, "ttlMs": record.ttl_ms,
-                "lifecycle": record.lifecycle()}
+        self._change(caller, name, fence, lambda store, now: store.plan_deregister(name, expect))
 
     # --- Leases -------------------------------------------------------------------------------------------
 
     def _leases(self, call: Call, caller: Caller, name: str) -> Answer:
-        now = self.now()
+        now, store = self.ledger.now(), self.ledger.live()
+        if store is None:
+            return self._elsewhere(ElsewhereError(self.ledger.leader()))
         return said(200, {"leases": [
             {"name": lease.name, "holder": held.holder if held else "", "token": lease.token,
-             "endsInMs": round(self.store.lease_ends_ms(lease.name, now)) if held else 0}
-            for lease in self.store.leases.values() for held in [self.store.holder(lease.name, now)]]})
+             "endsInMs": round(store.lease_ends_ms(lease.name, now)) if held else 0}
+            for lease in store.leases.values() for held in [store.holder(lease.name, now)]]})
 
     def _acquire(self, call: Call, caller: Caller, name: str) -> None:
         fields = _fields(call)
@@ -329,32 +340,36 @@
         ttl_ms = fields.number("ttlMs", None, self.config.least_ttl_ms, self.config.most_ttl_ms)
         fields.done()
 
-        def plan() -> Entry | None:
-            now = self.now()
-            entry = self.store.plan_acquire(name, holder, ttl_ms, now)
+        told: dict[str, object] = {}
+
+        def plan(store: Store, now: float) -> Entry | None:
+            entry = store.plan_acquire(name, holder, ttl_ms, now)
             if entry is None:
-                self.store.renew_lease(name, holder, self.store.leases[name].token, now)
+                store.renew_lease(name, holder, store.leases[name].token, now)
+            lease = entry or asdict(store.leases[name])
+            told.update(token=lease["token"], ttlMs=lease["ttl_ms"])
             return entry
 
-        def answer() -> dict[str, object]:
-            lease = self.store.leases[name]
-            return {"token": lease.token, "ttlMs": lease.ttl_ms}
+        self._write(caller, plan, lambda: told)
 
-        self._write(caller, plan, answer)
-
-    def _renew_lease(self, call: Call, caller: Caller, name: str) -> Answer:
+    def _renew_lease(self, call: Call, caller: Caller, name: str) -> None:
         fields = _fields(call)
         holder, token = fields.name("holder"), fields.whole("token", None, 1)
         fields.done()
-        lease = self.store.renew_lease(name, holder, token, self.now())
-        self.renewals += 1
-        return said(200, {"token": lease.token, "ttlMs": lease.ttl_ms})
+        told: dict[str, object] = {}
+
+        def plan(store: Store, now: float) -> None:
+            lease = store.renew_lease(name, holder, token, now)
+            told.update(token=lease.token, ttlMs=lease.ttl_ms)
+            self.renewals += 1
+
+        self._write(caller, plan, lambda: told)
 
     def _release(self, call: Call, caller: Caller, name: str) -> None:
         fields = _fields(call)
         holder, token = fields.name("holder"), fields.whole("token", None, 1)
         fields.done()
-        self._write(caller, lambda: self.store.plan_release(name, holder, token), lambda: {})
+        self._write(caller, lambda store, now: store.plan_release(name, holder, token), lambda: {})
 
     # --- Figures ------------------------------------------------------------------------------------------
 
@@ -362,30 +377,46 @@
         """What operators read."""
         return self._figures.text()
 
-    def _collect(self) -> list[Metric]:
+    def collect(self) -> list[Metric]:
+        """The figures, to be told alone or beside others."""
         records = self.store.records.values()
         out = sum(record.lifecycle() != READY for record in records)
-        now = self.now()
-        held = sum(self.store.holder(name, now) is not None for name in self.store.leases)
+        now, live = self.ledger.now(), self.ledger.live()
+        held = sum(live.holder(name, now) is not None for name in live.leases) if live is not None else 0
         return [
             gauge("registry_revision", "of the list", self.store.revision),
             gauge("registry_ready", "whether it tells a list", self.ready()),
             gauges("registry_servers", "in the list", "lifecycle",
                    {"ready": len(records) - out, "draining": out}),
-            gauge("registry_held_back", "servers past their time that are kept", self.store.held_back),
+            gauge("registry_held_back", "servers past their time that are kept", live.held_back if live is
+            not None else 0),
             gauge("registry_leases_held", "duties that somebody holds", held),
             gauge("registry_connections", "open", len(self.listener.callers)),
             gauge("registry_watches", "held", len(self._watches)),
             count("registry_changes_told", "answers to watches that had waited", self.changes_told),
             counts("registry_turned_away", "calls answered 503", "reason",
-                   {"too_many": self.turned_away, "not_ready": self.turned_away_early}),
+                   {"too_many": self.turned_away, "not_ready": self.turned_away_early,
+                    "too_old": self.turned_away_old}),
             count("registry_dropped", "peers that were slow, silent or in the way", self.listener.dropped),
             counts("registry_writes", "by what came of them", "result",
                    {"done": self.writes, "refused": self.refused, "not_durable": self.failed}),
             count("registry_renewals", "of servers and leases", self.renewals),
             count("registry_expired", "servers let go for their silence", self.expired),
-            gauge("registry_log_entries", "since the last snapshot", self.files.entries),
-            gauge("registry_log_broken", "whether the log takes no more", bool(self.files.broken))]
+            gauge("registry_log_entries", "since the last snapshot", self.ledger.log_entries),
+            gauge("registry_log_broken", "whether the log takes no more", bool(self.ledger.broken))]
+
+
+def _told(store: Store, name: str, entry: Entry | None) -> dict[str, object]:
+    """What a server's record is once an entry, if there is one, has come about."""
+    if entry is not None:
+        record = Record(**entry["record"]) if entry["op"] == "put" else None
+        revision = entry["revision"]
+    else:
+        record, revision = store.records.get(name), store.revision
+    if record is None:
+        return {"revision": revision}
+    return {"revision": record.revision, "registered": record.registered, "ttlMs": record.ttl_ms,
+            "lifecycle": record.lifecycle()}
 
 
 def _row(name: str, record: Record | None) -> dict[str, object]:
