Begin again from a backup or the folder that is left, and leave a server that answers too late

Cause: with a majority lost for good there was no way back from what is left. And a caller that gave a call up kept the connection and the leader it had been told of: with that leader stopped, it asked it again without end, and a late answer would have been taken for the next call's. Followed in the rig: the stopped leader's address was the only one dialled.

Change: holding backup and holding restore, under a new cluster name, so that members of the old one are refused instead of mixed in; revisions and tokens go on far above the old ones. A call that is given up leaves its server. Tests between real processes: a leader's full disk passes leadership on, wall clocks an hour ahead change nothing, all restart at once, a leader that was stopped wakes and leads no more.

Ruled out: forcing a new list of members into the old cluster: old members that come back with their majority would be a second cluster of the same name.

--- a/plumwall/cli/holding.py
+++ b/plumwall/cli/holding.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from pathlib import Path
 
 import click
+import msgspec
 
 from plumwall.cli.console import (
     FILE,
+    BadFileError,
     WorkFailedError,
     as_json,
     fields,
@@ -17,8 +20,12 @@
 )
 from plumwall.cli.servers import ask, at_option
 from plumwall.cli.service import become, chosen_format, log_format
-from yewstage.net.config import Address
+from yewstage.holding.config import holding as read_config
+from yewstage.holding.recover import begin_again, read_backup
+from yewstage.net.config import Address, ConfigError
+from yewstage.raft.disk import DiskError
 from yewstage.registry.client import Client, SilentError
+from yewstage.registry.config import read
 
 WAIT_S = 2.0
 COLUMNS = ("process", "role", "term", "leader", "commit", "age ms", "short", "disk bytes", "trouble")
@@ -161,6 +168,58 @@
     fields({"removed": member}, json_)
 
 
+@holding.command()
+@click.argument("to", type=click.Path(dir_okay=False, path_type=Path))
+@at_option
+def backup(to: Path, at: list[Address]) -> None:
+    """Write all that is held, as the leader has it now, to a file.
+
+    \b
+    Example:
+      plumwall holding backup held.json --at 127.0.0.1:8501,127.0.0.1:8502
+    """
+    body = ask(at, "GET", "/v1/holding/backup")
+    part = to.with_suffix(".part")
+    part.write_bytes(msgspec.json.encode(body))
+    part.rename(to)
+    state = body["state"]
+    click.echo(
+        f"index {body['index']} of {body['cluster']}: {len(state['records'])} servers, "
+        f"{len(state['leases'])} duties"
+    )
+
+
+@holding.command()
+@click.option("--config", type=FILE, required=True, help="Of the process that begins, under a new `cluster`.")
+@click.option(
+    "--from",
+    "source",
+    type=click.Path(exists=True, path_type=Path),
+    required=True,
+    help="A backup, or the folder of a member that is left.",
+)
+def restore(config: Path, source: Path) -> None:
+    """Begin again, when a majority is lost for good: one member on an empty folder, which spares then join.
+
+    What the old majority acknowledged later than that is lost. Nothing of the old cluster is touched,
+    and what comes back of it is refused.
+
+    \b
+    Example:
+      plumwall holding restore --config g1-anew.json --from /var/lib/plumwall/holding
+    """
+    try:
+        known = read_config(read(str(config)))
+        found = read_backup(source)
+        name = begin_again(known, found, time.time() * 1000)
+    except (ConfigError, DiskError) as error:
+        raise BadFileError(str(error)) from None
+    click.echo(
+        f"{name} begins {known.cluster} with index {found.index} of {found.cluster}: "
+        f"{len(found.state['records'])} servers; start it, then the others on empty folders"
+    )
+
+
 @holding.command("hand-over")
 @at_option
 @as_json
--- a/plumwall/model/planted.py
+++ b/plumwall/model/planted.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from plumwall.model.cluster import Planted
-from yewstage.holding.group import Group, Result, _encode
+from yewstage.holding.group import Group, Result, encode_entry
 from yewstage.raft.core import Replica
 from yewstage.raft.messages import MEMBERS, AnyMessage, Members, VoteReply, encode
 from yewstage.registry.store import Store
@@ -43,7 +43,8 @@
 class _ForgetsLeases(Group):
     def compact(self, now: float) -> None:
         if self.applied > self.replica.snapshot.index:
-            self.replica.compact(self.applied, _encode({**self.store.snapshot(), "leases": [], "token": 0}))
+            state = {**self.store.snapshot(), "leases": [], "token": 0}
+            self.replica.compact(self.applied, encode_entry(state))
 
 
 class _TrustsOldTimes(Group):
--- a/tests/test_holding.py
+++ b/tests/test_holding.py
@@ -169,6 +169,107 @@
     with_machines(3, tmp_path, scenario)
 
 
+def test_what_is_left_of_a_lost_majority_begins_again_under_a_new_name(tmp_path: Path) -> None:
+    async def scenario(machines: Machines) -> None:
+        client = machines.client()
+        told = await register(client, "s-1")
+        lease = await client.call("PUT", "/v1/leases/duty", {"holder": "h", "ttlMs": 60000})
+        addresses = ",".join(f"{HOST}:{m.listen}" for m in machines.all)
+        words = ("holding", "backup", str(tmp_path / "held"), "--at", addresses)
+        done = await asyncio.to_thread(run, "plumwall", *words)
+        assert done.returncode == 0 and "1 servers, 1 duties" in done.stdout
+        kept, *lost = machines.all
+        await eventually(kept, {"s-1"})
+        for machine in machines.all:
+            await machine.kill(disk_too=machine is not kept)
+        (kept.folder / "state").rename(kept.folder / "old")
+        config = kept.folder / "holding.json"
+        again = ("plumwall", "holding", "restore", "--config", str(config), "--from")
+        for source in (kept.folder / "old", tmp_path / "held"):
+            done = await asyncio.to_thread(run, *again, str(source))
+            assert done.returncode == 2 and "cluster: must be another name than rig" in done.stderr
+        for machine in machines.all:
+            machine.changes["cluster"] = "rig-2"
+        raw = json.loads(config.read_text()) | {
+            "cluster": "rig-2",
+            "listen": f"{HOST}:{kept.listen}",
+            "peer": f"{HOST}:{kept.peer}",
+        }
+        config.write_text(json.dumps(raw))
+        done = await asyncio.to_thread(run, *again, str(kept.folder / "old"))
+        assert done.returncode == 0, done.stderr
+        for machine in machines.all:
+            await machines.start(machine)
+        assert len((await machines.whole())["members"]) == 3
+        assert await listed(kept) == {"s-1"}
+        fresh = machines.client()
+        assert (await register(fresh, "s-2")).body["revision"] > told.body["revision"]
+        taken = await fresh.call("PUT", "/v1/leases/other", {"holder": "h", "ttlMs": 60000})
+        assert taken.body["token"] > lease.body["token"]
+        client.close()
+        fresh.close()
+
+    with_machines(3, tmp_path, scenario)
+
+
+def test_a_full_disk_at_the_leader_passes_leadership_on_and_loses_nothing(tmp_path: Path) -> None:
+    async def scenario(machines: Machines) -> None:
+        client, names = machines.client(), set()
+        leader = await machines.leader()
+        for other in machines.all:  # wall clocks jump by an hour
+            if other is not leader:
+                other.clock_s = 3600
+                await other.end()
+                await machines.start(other)
+        await leader.end()
+        leader.file_bytes = 6000
+        await machines.start(leader)
+        for i in range(40):
+            names.add(f"s-{i}")
+            await register(client, f"s-{i}")
+        while not any("nothing can be made durable here" in line for line in leader.lines):
+            await asyncio.sleep(0.02)
+        await register(client, "more")
+        assert await machines.leader() is not leader
+        leader.file_bytes = 0
+        await leader.kill()
+        await machines.start(leader)
+        await machines.whole()
+        await eventually(leader, {*names, "more"})
+        client.close()
+
+    with_machines(3, tmp_path, scenario)
+
+
+def test_all_restart_at_once_and_a_paused_leader_wakes_to_find_that_it_leads_no_more(tmp_path: Path) -> None:
+    async def scenario(machines: Machines) -> None:
+        client = machines.client()
+        await register(client, "s-1")
+        told = await client.call("PUT", "/v1/leases/duty", {"holder": "h-1", "ttlMs": 60000})
+        for machine in machines.all:
+            await machine.kill()
+        for machine in machines.all:
+            await machines.start(machine)
+        await register(client, "s-2")
+        again = await client.call("PUT", "/v1/leases/duty", {"holder": "h-2", "ttlMs": 60000})
+        assert again.status == 409
+        leader = await machines.leader()
+        leader.pause()
+        others = Client([(HOST, m.listen) for m in machines.all if m is not leader])
+        await register(others, "s-3")
+        woken = Client([(HOST, leader.listen)])
+        words = {"holder": "h-1", "token": told.body["token"]}
+        renewal = asyncio.create_task(woken.call("POST", "/v1/leases/duty/renew", words))
+        await asyncio.sleep(0)
+        leader.wake()
+        assert (await renewal).status in (200, 503)  # by the leader that it was told of, or later
+        assert (await machines.leader()) is not leader
+        for used in (client, others, woken):
+            used.close()
+
+    with_machines(3, tmp_path, scenario)
+
+
 def test_writers_outlive_lost_machines_a_lost_zone_pauses_and_one_way_cuts(tmp_path: Path) -> None:
     plan = Plan(
         machines=6,
--- a/yewstage/holding/group.py
+++ b/yewstage/holding/group.py
@@ -21,8 +21,8 @@
 from yewstage.registry.store import Entry, RefusedError, Rules, Store
 
 Plan = Callable[[Store, float], Entry | None]
-_encode = msgspec.msgpack.Encoder().encode
-_decode = msgspec.msgpack.Decoder(dict[str, object]).decode
+encode_entry = msgspec.msgpack.Encoder().encode
+decode_entry = msgspec.msgpack.Decoder(dict[str, object]).decode
 
 
 class UnsureError(Exception):
@@ -99,7 +99,7 @@
             refused = error
         if entry is None:
             return self._confirm(now, refused)
-        index = self.replica.propose(now, _encode(entry))
+        index = self.replica.propose(now, encode_entry(entry))
         self._tickets += 1
         self._writes.append(_Waiting(self._tickets, index, self.replica.term))
         store.apply(entry, now)
@@ -159,14 +159,14 @@
             self.applied = entry.index
             self.applied_since += 1
             if entry.kind == DATA:
-                self.store.apply(_decode(entry.data), now)
+                self.store.apply(decode_entry(entry.data), now)
                 result.changed = True
         self._answer(out, result)
         self._lead_or_not(now, result)
         return result
 
     def _install(self, out: Output, result: Result, now: float) -> None:
-        self.store = Store.restored(self.rules, _decode(out.install.data), now)
+        self.store = Store.restored(self.rules, decode_entry(out.install.data), now)
         self.applied, self.applied_since = out.install.index, 0
         result.changed = result.replaced = True
 
@@ -202,11 +202,11 @@
     def compact(self, now: float) -> None:
         """Put the state in place of the entries that made it."""
         if self.applied > self.replica.snapshot.index:
-            self.replica.compact(self.applied, _encode(self.store.snapshot()))
+            self.replica.compact(self.applied, encode_entry(self.store.snapshot()))
             self.applied_since = 0
 
 
 def first_data(rules: Rules, wall_ms: float) -> bytes:
     """The state that a new group begins with: its revisions are above all that an earlier service can have
     told."""
-    return _encode(Store(rules, int(wall_ms)).snapshot())
+    return encode_entry(Store(rules, int(wall_ms)).snapshot())
--- a/yewstage/holding/identity.py
+++ b/yewstage/holding/identity.py
@@ -31,6 +31,21 @@
     mark: tuple[int, int]  # inode and change time of the file `disk`
 
 
+def meta_of(folder: Path) -> Meta:
+    """What a folder says of itself; DiskError where that cannot be used."""
+    path = folder / "meta"
+    try:
+        raw = msgspec.json.decode(path.read_bytes(), type=dict[str, object])
+        if raw.get("format") != FORMAT:
+            raise DiskError(
+                f"{path}: is of format {raw.get('format')}, this program reads {FORMAT}: start the "
+                "program that wrote it, or a later one"
+            )
+        return msgspec.convert(raw, Meta)
+    except (OSError, msgspec.MsgspecError) as error:
+        raise DiskError(f"{path}: makes no sense: {error}; give the process an empty folder") from None
+
+
 class Folder:
     """The folder of one process, held by a lock until it ends."""
 
@@ -51,16 +66,7 @@
         path = self.path / "meta"
         if not path.exists():
             return self._new()
-        try:
-            raw = msgspec.json.decode(path.read_bytes(), type=dict[str, object])
-            if raw.get("format") != FORMAT:
-                raise DiskError(
-                    f"{path}: is of format {raw.get('format')}, this program reads {FORMAT}: start the "
-                    "program that wrote it, or a later one"
-                )
-            meta = msgspec.convert(raw, Meta)
-        except msgspec.MsgspecError as error:
-            raise DiskError(f"{path}: makes no sense: {error}; give the process an empty folder") from None
+        meta = meta_of(self.path)
         if (meta.cluster, meta.name) != (self._cluster, self._name):
             raise DiskError(
                 f"{path}: is of {meta.name} in cluster {meta.cluster}, not of {self._name} in "
--- a/yewstage/holding/node.py
+++ b/yewstage/holding/node.py
@@ -17,6 +17,8 @@
 from yewstage.holding.ledger import Copied
 from yewstage.holding.link import VERSION, Hearing, Hello, Link, Said, frame
 from yewstage.holding.members import View, next_change, used_twice
+from yewstage.holding.recover import FORMAT as BACKUP_FORMAT
+from yewstage.holding.recover import GROUP, Backup
 from yewstage.log import Event, at
 from yewstage.metrics import Metric, count, gauge
 from yewstage.net.config import Address, ConfigError
@@ -24,11 +26,11 @@
 from yewstage.raft.core import BusyError, NotLeaderError, Saved, Write, first_state
 from yewstage.raft.disk import Disk
 from yewstage.raft.messages import AnyMessage, Member, Members
+from yewstage.registry.ledger import ElsewhereError, LaterError
 from yewstage.registry.server import Registry, failed, said
 
 log = logging.getLogger(__name__)
 
-GROUP = "list"
 LOOK_S = 0.2  # how often a leader looks whether a copy is to be replaced
 FRESH_MS = 4000.0  # a process that was heard of within this is there: four of its signs of life
 
@@ -235,6 +237,7 @@
             "init": ("POST", self._init),
             "remove": ("POST", self._remove),
             "hand-over": ("POST", self._hand_over),
+            "backup": ("GET", self._backup),
         }
         if verb not in calls:
             return failed(404, "no such path")
@@ -344,6 +347,22 @@
             return self._lead(lambda: self.ledger.change(()))
         return said(200, {"handed": self.ledger.hand_over()})
 
+    def _backup(self, call: Call, caller: Caller) -> None:
+        """All that is held, as of now or later."""
+        self._spawn(self._backed_up(caller))
+
+    async def _backed_up(self, caller: Caller) -> None:
+        try:
+            await self.ledger.confirm()
+            state = self.ledger.store.snapshot()
+            held = Backup(BACKUP_FORMAT, self.config.cluster, self.ledger.group.applied, state)
+            caller.answer(said(200, msgspec.to_builtins(held)))
+        except ElsewhereError as error:
+            where = {"error": str(error), "leader": error.at}
+            caller.answer(said(421, where) if error.at else failed(503, str(error)))
+        except LaterError as error:
+            caller.answer(failed(503, str(error)))
+
     def _lead(self, do: object) -> Answer:
         try:
             do()
--- a/yewstage/registry/client.py
+++ b/yewstage/registry/client.py
@@ -64,6 +64,9 @@
                     self.close()
                     self._leader = address(told.body, "leader")
                     told = _told(await self._exchange(method, path, body, CALL_S + wait_s))
+            except asyncio.CancelledError:
+                self._leave()  # who asked waits no longer: its answer would be taken for the next one's
+                raise
             except (SilentError, ValueError, ConfigError) as error:
                 self._leave()
                 raise SilentError(str(error)) from None
