--- a/yewstage/holding/group.py
+++ b/yewstage/holding/group.py
@@ -77,6 +77,7 @@
         self.replica = replica(me, settings, saved, rng, now)
         self.store = Store(rules)
         self.planned: Store | None = None  # as it will be; only while we lead
+        self._planned_term = 0  # in which: what was planned in an earlier one may have been replaced
         self.applied = 0
         self.applied_since = 0  # entries since the last snapshot
         self._writes: deque[_Waiting] = deque()  # by index
@@ -121,14 +122,15 @@
     def _leading(self, now: float) -> Store:
         """The store to plan against; NotLeaderError where another leads."""
         self.replica.tick(now)
-        if not self.replica.leading() or self.planned is None:
+        if not self.leads():
             leader = self.replica.leader if self.replica.role != LEADER else ""
             raise NotLeaderError(leader)
         return self.planned
 
     def leads(self) -> bool:
         """Whether writes are taken here."""
-        return self.planned is not None and self.replica.leading()
+        return self.planned is not None and self.replica.leading() \
+            and self._planned_term == self.replica.term
 
     def leader(self) -> Member | None:
         """The leader as it is known here."""
@@ -188,14 +190,16 @@
             result.done.append(Done(waiting.ticket, waiting.error))
 
     def _lead_or_not(self, now: float, result: Result) -> None:
-        if self.replica.leading():
-            if self.planned is None:
-                self.planned = Store.restored(self.rules, self.store.snapshot(), now)
-        elif self.planned is not None or self._confirms or self._writes:
+        if self.leads():
+            return
+        if self.planned is not None or self._confirms or self._writes:
             self.planned = None
             result.done += [Done(w.ticket, UnsureError()) for w in (*self._writes, *self._confirms.values())]
             self._writes.clear()
             self._confirms.clear()
+        if self.replica.leading():
+            self.planned = Store.restored(self.rules, self.store.snapshot(), now)
+            self._planned_term = self.replica.term
 
     # --- Snapshots ----------------------------------------------------------------------------------------
 
--- a/yewstage/holding/ledger.py
+++ b/yewstage/holding/ledger.py
@@ -42,6 +42,7 @@
         self._waiting: dict[int, asyncio.Future[Exception | None]] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._soon = False
+        self._halted = False  # the replica is being replaced by another one
         self.unsure = 0
         self.full = ""  # why the last write to the disk failed; empty: it did not
 
@@ -114,9 +115,21 @@
 
     def handle(self, message: AnyMessage) -> None:
         """A message from another replica."""
+        if self._halted:
+            return
         self.group.handle(self.now(), message)
         self.soon()
 
+    async def begin(self, write: Write, make: Callable[[], Group]) -> None:
+        """Begin with what a write makes durable, in place of a replica that held nothing."""
+        self._halted = True
+        if self._writing is not None:
+            await self._writing
+        self._queue.clear()  # what it may have voted was told to nobody, or is in the write
+        await self._loop.run_in_executor(self._pool, self.disk.write, [write])
+        self.group, self._halted = make(), False
+        self.soon()
+
     def change(self, members: Members) -> None:
         """Begin to change a member. NotLeaderError, BusyError."""
         self.group.replica.change(self.now(), members)
@@ -130,6 +143,8 @@
 
     def _pump(self) -> None:
         self._soon = False
+        if self._halted:
+            return
         result = self.group.take(self.now())
         if self.group.applied_since >= self._most:
             self.group.compact(self.now())
--- a/yewstage/holding/node.py
+++ b/yewstage/holding/node.py
@@ -6,7 +6,6 @@
 import logging
 import random
 import time
-from dataclasses import replace as changed
 
 import msgspec
 from msgspec import structs
@@ -32,6 +31,7 @@
 log = logging.getLogger(__name__)
 
 LOOK_S = 0.2  # how often a leader looks whether a copy is to be replaced
+FORGET_MS = 60_000.0
 FRESH_MS = 4000.0  # a process that was heard of within this is there: four of its signs of life
 
 
@@ -145,7 +145,10 @@
         self.refused_peers += 1
 
     def _heard(self, member: Member) -> None:
-        self._present[member.id] = member, self.ledger.now()
+        now = self.ledger.now()
+        if member.id not in self._present:  # disks that are long gone are forgotten
+            self._present = {name: told for name, told in self._present.items() if now - told[1] < FORGET_MS}
+        self._present[member.id] = member, now
         if member.name not in self._links and member.name != self.config.name:
             self._link(member.name)
 
@@ -166,7 +169,8 @@
         """Where a process is reached from here: as configured, else as it says itself."""
         if name in self.config.peers:
             return self.config.peers[name]
-        known = [m for m, _ in self._present.values() if m.name == name]
+        heard = sorted(self._present.values(), key=lambda told: -told[1])
+        known = [m for m, _ in heard if m.name == name]
         known += [m for m in self.ledger.group.replica.members if m.name == name]
         host, _, port = known[0].peer.rpartition(":") if known else ("", "", "")
         return (host, int(port)) if host else None
@@ -326,11 +330,11 @@
 
     async def _begin(self, members: Members, caller: Caller) -> None:
         saved = first_state(members, first_data(self.config.service.rules, time.time() * 1000))
-        term = max(saved.term, self.ledger.group.replica.term)
-        write = Write(1, (term, self.ledger.group.replica.vote), (), saved.snapshot, True)
-        await self._loop.run_in_executor(None, self._disk.write, [write])
-        self.ledger.group = self._group(changed(saved, term=term))
-        self.ledger.start()
+        replica = self.ledger.group.replica
+        term, vote = (replica.term, replica.vote) if replica.term > saved.term else (saved.term, "")
+        saved.term, saved.vote = term, vote
+        write = Write(1, (term, vote), (), saved.snapshot, True)
+        await self.ledger.begin(write, lambda: self._group(saved))
         caller.answer(said(200, {"members": len(members)}))
 
     def _remove(self, call: Call, caller: Caller) -> Answer:
