Have the rounds find a lost write at once: each write expects the one before

Cause: writers went over their keys faster than the rounds looked at the lists, so that a lost version had been written over by then. Ruled out: reading after each write, which doubles the load and sees less.

--- a/plumwall/faults/links.py
+++ b/plumwall/faults/links.py
@@ -1,8 +1,7 @@
 """A stand-in for one link: connections to it go on to the real address, each direction by its own rules.
 
 Bytes that a direction loses are gone: when it heals the connections that lost some end, as a stream with a
-hole
-would. What it holds comes later, whole and in order.
+hole would. What it holds comes later, whole and in order.
 """
 
 from __future__ import annotations
--- a/plumwall/faults/machines.py
+++ b/plumwall/faults/machines.py
@@ -34,6 +34,7 @@
         self.name, self.zone, self.folder, self.changes = name, zone, folder, changes
         self.links: dict[str, StandIn] = {}  # to the others, by name
         self.peer = self.listen = self.ops = 0
+        self.module = "yewstage.holding"
         # What is worse than it should be, from the next start on.
         self.sync_ms = self.file_bytes = self.clock_s = 0
         self.process: asyncio.subprocess.Process | None = None
@@ -58,7 +59,7 @@
         path = self.folder / "holding.json"
         path.write_bytes(msgspec.json.encode(raw))
         self.process = await spawn_module(
-            *hindered("yewstage.holding", self.sync_ms, self.file_bytes, self.clock_s),
+            *hindered(self.module, self.sync_ms, self.file_bytes, self.clock_s),
             "--config",
             str(path.resolve()),
             stderr=asyncio.subprocess.PIPE,
@@ -209,8 +210,8 @@
             await asyncio.sleep(0.05)
 
     async def whole(self) -> dict[str, object]:
-        """Wait until every copy is there, on the disk that its machine has now, and no change is under
-        way; the leader's status."""
+        """Wait until every copy is there, on the disk that its machine has now, and no change is under way;
+        the leader's status."""
         while True:
             status = await self.status(await self.leader())
             if status and await self._is_whole(status):
--- a/plumwall/faults/torture.py
+++ b/plumwall/faults/torture.py
@@ -1,11 +1,9 @@
 """Rounds of faults on real processes under load, drawn by a seed, with what must hold looked at all along.
 
-Each key has one writer, whose versions only rise: what is acknowledged and then not there, or there in an
-older
-version, is lost. Two processes want one duty; both may never hold it at once by their own clocks, and
-tokens only
-rise. A round ends when no copy is missing any more and every member tells a list that has all that was
-acknowledged.
+Each key has one writer, whose versions only rise, and each write expects the revision of the one before:
+what was acknowledged and is not there any more refuses the next write, however soon that comes. Two
+processes want one duty; both may never hold it at once by their own clocks, and tokens only rise. A round
+ends when no copy is missing any more and every member tells a list that has all that was acknowledged.
 """
 
 from __future__ import annotations
@@ -22,7 +20,7 @@
 import numpy as np
 
 from plumwall.faults.machines import HOST, ZONES, Machine, Machines
-from yewstage.registry.client import Client, Duty, SilentError
+from yewstage.registry.client import Client, Duty, SilentError, Told
 
 PLANS = Path(__file__).parent / "plans"
 ROUND_S = 60.0  # by when all copies must be there again
@@ -110,6 +108,7 @@
         self._machines, self._plan = machines, plan
         self.begun: dict[str, int] = {}
         self.acknowledged: dict[str, int] = {}
+        self.revisions: dict[str, int] = {}
         self.writes = self.unsure = 0
         self.last_at = time.monotonic()
         self.longest_s = 0.0  # without a write since this was set to 0
@@ -152,25 +151,13 @@
             key = f"w{writer}-{number % self._plan.keys}"
             version = self.begun[key] = self.begun.get(key, 0) + 1
             began = time.monotonic()
-            while True:
-                try:
-                    async with asyncio.timeout(2.0):
-                        told = await client.call(
-                            "PUT",
-                            f"/v1/endpoints/{key}",
-                            {"hostPort": f"{HOST}:1", "ttlMs": TTL_MS, "startedAtMs": version},
-                        )
-                    status = told.status
-                except (SilentError, TimeoutError):
-                    client.close()
-                    status = 0
-                if status == 200:
-                    break
+            while (told := await self._put(client, key, version)) is None or told.status != 200:
                 self.unsure += 1
-                if status == 409:
-                    self.breach = f"{key} version {version}: {told.body}"
+                if told is not None and told.status == 409:
+                    self.breach = f"{key} = {version - 1} was acknowledged and is lost: {told.body}"
+                    return
                 await asyncio.sleep(0.02)
-            self.acknowledged[key] = version
+            self.acknowledged[key], self.revisions[key] = version, told.body["revision"]
             self.writes += 1
             now = time.monotonic()
             self.longest_s = max(self.longest_s, now - self.last_at)
@@ -179,6 +166,21 @@
             del self.history[:-2000]
             await asyncio.sleep(0.01)
 
+    async def _put(self, client: Client, key: str, version: int) -> Told | None:
+        """One try. A repeat of one that came about says nothing new and is taken; else the revision must be
+        that of the version before."""
+        words = {
+            "hostPort": f"{HOST}:1",
+            "ttlMs": TTL_MS,
+            "startedAtMs": version,
+            "expect": self.revisions.get(key, 0),
+        }
+        try:
+            async with asyncio.timeout(2.0):
+                return await client.call("PUT", f"/v1/endpoints/{key}", words)
+        except (SilentError, TimeoutError):
+            return None
+
     async def _hold(self, duty: Duty, name: str) -> None:
         token, rounds = 0, 0
         while True:
@@ -244,6 +246,8 @@
         try:
             async with asyncio.timeout(ROUND_S):
                 await self._machines.whole()
+                if self.load.breach:
+                    raise BreachError(self.load.breach)
                 self.outcome.whole_s.append(time.monotonic() - began)
                 await self._all_tell()
         except TimeoutError:
@@ -279,8 +283,7 @@
 
     async def _all_tell(self) -> None:
         """Every member's list has all that was acknowledged before it was asked; within the round's time it
-        has to
-        have heard of it."""
+        has to have heard of it."""
         known = dict(self.load.acknowledged)
         status = await self._machines.whole()
         names = {member["id"].rpartition(".")[0] for member in status["members"]}
--- a/plumwall/model/__init__.py
+++ b/plumwall/model/__init__.py
@@ -1,2 +1,1 @@
-"""Checking the pure parts by playing them: all orders to a depth, and long random plans, under virtual
-time."""
+"""Checking the pure parts by playing them under virtual time: all orders to a depth, long random plans."""
--- a/plumwall/model/cluster.py
+++ b/plumwall/model/cluster.py
@@ -2,11 +2,9 @@
 compared.
 
 What runs is the code in service: `yewstage.holding.group` and `yewstage.raft.core`. Here are only the parts
-that
-the world plays: messages that are delivered in any order, lost or repeated; writes that become durable some
-time
-later; crashes that lose what was not durable; disks that are lost; clocks that are hours apart and a process
-that does not look at its own for as long as it likes.
+that the world plays: messages that are delivered in any order, lost or repeated; writes that become durable
+some time later; crashes that lose what was not durable; disks that are lost; clocks that are hours apart and
+a process that does not look at its own for as long as it likes.
 """
 
 from __future__ import annotations
@@ -314,8 +312,7 @@
             self._granted(*asked)
 
     def _granted(self, holder: str, since: float, token: int) -> None:
-        """A lease's answer came: the holder believes in it from when it asked, for its time less the
-        drift."""
+        """A lease's answer came: its holder believes in it from when it asked, for its time less drift."""
         until = since + TTL_MS * (1 - RULES.drift)
         if until <= self.time:
             return  # too late: it holds nothing
--- a/plumwall/model/explore.py
+++ b/plumwall/model/explore.py
@@ -1,8 +1,7 @@
 """Plays of the model: long random plans that a seed repeats, and all orders of events to a depth.
 
 A plan is a list of steps, each a name and numbers; what it did can be played again, and shortened to the
-fewest
-steps that still show a breach.
+fewest steps that still show a breach.
 """
 
 from __future__ import annotations
@@ -93,9 +92,8 @@
 
 
 def changed(cluster: Cluster, i: int, choice: int) -> Members:
-    """Members as somebody may want them: a machine's new disk let in, made a voter, an old disk's taken
-    out, or
-    all of that in one change, which must be refused."""
+    """Members as somebody may want them: a machine's new disk let in, made a voter, an old disk's taken out,
+    or all of that in one change, which must be refused."""
     node = cluster.nodes[i]
     if node.group is None:
         return ()
@@ -225,8 +223,8 @@
 
 def may_wipe(cluster: Cluster, i: int) -> bool:
     """Whether losing this disk leaves every promise a majority to rest on: what was acknowledged is on a
-    majority
-    of the disks of some list of members, and the loss of a majority loses it, whatever the program does."""
+    majority of the disks of some list of members, and the loss of a majority loses it, whatever the program
+    does."""
     lists = []
     for node in cluster.nodes:
         saved = node.disk.saved
@@ -375,8 +373,7 @@
 
 def every(scene: str, depth: int, planted: Planted | None = None, most: int = 10**9) -> Found:
     """All orders of the steps that are possible from a scene, to a depth, each state once; no more than
-    `most`
-    states."""
+    `most` states."""
     found, began = Found(scene=scene), time.perf_counter()
     try:
         first = SCENES[scene](planted)
--- a/plumwall/model/scenes.py
+++ b/plumwall/model/scenes.py
@@ -76,8 +76,7 @@
 
 def older_entry(planted: Planted | None) -> Cluster:
     """A leader brings an entry of its earlier term to a second machine, while a third has one of a later
-    term in
-    its place (figure 8 of the paper)."""
+    term in its place (figure 8 of the paper)."""
     cluster = led(planted)
     cluster.cut |= {(A, B), (A, C)}
     cluster.write(A)
--- a/tests/test_holding.py
+++ b/tests/test_holding.py
@@ -15,7 +15,7 @@
 
 from plumwall.faults.links import StandIn
 from plumwall.faults.machines import HOST, Machine, Machines
-from plumwall.faults.torture import PLANS, Plan, draw, read_plan, torture
+from plumwall.faults.torture import PLANS, Plan, Torture, draw, read_plan, torture
 from yewstage.holding.identity import Folder
 from yewstage.holding.members import View, next_change, used_twice
 from yewstage.raft.disk import DiskError
@@ -290,6 +290,23 @@
     on_loop(played, 200)
 
 
+def test_a_leader_that_counts_for_a_majority_by_itself_is_found_out_by_the_rounds(tmp_path: Path) -> None:
+    plan = Plan(
+        machines=3, copies=3, writers=4, keys=4, gone_ms=1500.0, zone_every=0, faults={"leader_lost": 1.0}
+    )
+
+    async def played() -> None:
+        async with Machines(tmp_path, 3, gone_ms=1500.0, most_ttl_ms=1e8) as machines:
+            for machine in machines.all:
+                await machine.kill(disk_too=True)
+                machine.module = "tests.rogue_holding"
+                await machines.start(machine)
+            outcome = await Torture(machines, plan).play(draw(plan, 4, 1))
+        assert "lost" in outcome.breach and outcome.history, outcome
+
+    on_loop(played, 100)
+
+
 def test_two_processes_of_one_name_are_told_of_and_neither_is_let_in(tmp_path: Path) -> None:
     members = tuple(Member(f"n{i}.1", f"n{i}", f"z{i}", "", "") for i in range(3))
     twins = (Member("n2.2", "n2", "z2", "", ""), Member("n2.3", "n2", "z2", "", ""))
--- a/yewstage/holding/__main__.py
+++ b/yewstage/holding/__main__.py
@@ -72,8 +72,8 @@
 
 
 def main() -> int:
-    """0 after SIGTERM; 1 if the disk failed; 2 with one plain line if configuration, folder or address are no
-    good."""
+    """0 after SIGTERM; 1 if the disk failed; 2 with one plain line if configuration, folder or address are
+    no good."""
     parser = argparse.ArgumentParser(prog="python -m yewstage.holding", description=__doc__)
     parser.add_argument("--config", required=True, metavar="FILE")
     parser.add_argument("--log-format", choices=FORMATS, help="goes before the file's `log`")
--- a/yewstage/holding/group.py
+++ b/yewstage/holding/group.py
@@ -2,9 +2,9 @@
 
 Pure: no sockets, files or clocks. A write is planned by the leader against the store as it will be once all
 that is under way has come about, and answered when it has. The store that is read changes only by what is
-committed. Deadlines belong to the leader alone: a new one gives everything its whole time anew, and a renewal
-is answered only when leadership was confirmed after it came. So no holder can believe in a time that another
-leader does not know of.
+committed. Deadlines belong to the leader alone: a new one gives everything its whole time anew, and a
+renewal is answered only when leadership was confirmed after it came. So no holder can believe in a time that
+another leader does not know of.
 """
 
 from __future__ import annotations
@@ -50,8 +50,7 @@
 
 @dataclass(slots=True)
 class _Waiting:
-    """A ticket that waits: for an entry, or for leadership to be confirmed with all up to an index
-    applied."""
+    """A ticket that waits for an entry, or for leadership to be confirmed with all up to an index applied."""
 
     ticket: int
     index: int  # that has to be applied
@@ -107,9 +106,8 @@
         return self._tickets
 
     def confirm(self, now: float) -> int:
-        """Ask whether we lead, from now on; the ticket. Done without an error: yes, and all that was
-        planned so
-        far is durable."""
+        """Ask whether we lead, from now on; the ticket. Done without an error: yes, and all that was planned
+        so far is durable."""
         self._leading(now)
         return self._confirm(now, None)
 
--- a/yewstage/holding/identity.py
+++ b/yewstage/holding/identity.py
@@ -1,8 +1,9 @@
 """Which disk this is. A machine that comes back with an empty or an older disk is somebody else.
 
-The folder's file `disk` is written once and never touched again; `meta` holds its id and what the file system
-says of that file. Whoever copies the folder, or brings it back from an earlier time, makes another file: the
-change time cannot be set by hand. What was promised since is not in such a folder, so it is set aside.
+The folder's file `disk` is written once and never touched again; `meta` holds its id and what the file
+system says of that file. Whoever copies the folder, or brings it back from an earlier time, makes another
+file: the change time cannot be set by hand. What was promised since is not in such a folder, so it is set
+aside.
 """
 
 from __future__ import annotations
--- a/yewstage/holding/link.py
+++ b/yewstage/holding/link.py
@@ -1,9 +1,8 @@
 """Links between replicas: each sends on connections that it dialled itself and hears on those of the others.
 
 Frames: four bytes of length, then MessagePack. The first on a connection, and one each second, says who
-sends.
-What cannot be sent at once is dropped: consensus repeats what was lost, and old news is worth less than
-memory.
+sends. What cannot be sent at once is dropped: consensus repeats what was lost, and old news is worth less
+than memory.
 """
 
 from __future__ import annotations
--- a/yewstage/holding/members.py
+++ b/yewstage/holding/members.py
@@ -31,9 +31,8 @@
     """The members after the next change; None: nothing is to be changed.
 
     A learner is let in first and made a voter once it has all; only then the lost one goes, so that there
-    are never
-    fewer copies than before. While one is being let in nothing else is changed; if it is lost itself it
-    goes again.
+    are never fewer copies than before. While one is being let in nothing else is changed; if it is lost
+    itself it goes again.
     """
     for learner in (m for m in view.members if not m.voter):
         if _silent(view, learner) > view.fresh_ms:
@@ -74,8 +73,7 @@
 
 def _candidate(view: View, kept: list[Member], lost: list[Member]) -> Member | None:
     """Who takes a lost copy's place: in the zone with the fewest copies left, the machine itself where it
-    has come
-    back, else the highest by rendezvous hashing."""
+    has come back, else the highest by rendezvous hashing."""
     known, twice = {m.id for m in view.members}, used_twice(view)
     taken, zones = {m.name for m in kept}, Counter(m.zone for m in kept)
     names = {m.name for m in lost}
--- a/yewstage/holding/recover.py
+++ b/yewstage/holding/recover.py
@@ -1,10 +1,9 @@
 """Beginning again from what is left: a backup, or the folder of a member whose majority is lost for good.
 
 It begins under a new cluster name, so that members of the old one that come back after all are refused
-instead of
-mixed in. What the old majority acknowledged after the backup, or never told this member, is lost, and said so
-nowhere: the operator decides. Revisions and tokens go on far above all that the old cluster can have given
-out.
+instead of mixed in. What the old majority acknowledged after the backup, or never told this member, is lost,
+and said so nowhere: the operator decides. Revisions and tokens go on far above all that the old cluster can
+have given out.
 """
 
 from __future__ import annotations
@@ -36,8 +35,7 @@
 
 
 def read_backup(path: Path) -> Backup:
-    """A backup's file, or a member's folder with all that stands in its log. DiskError where it is
-    neither."""
+    """A backup's file, or a member's folder with all that is in its log. DiskError where it is neither."""
     if path.is_dir():
         return _from_folder(path)
     try:
--- a/yewstage/raft/core.py
+++ b/yewstage/raft/core.py
@@ -2,13 +2,11 @@
 
 Pure: no sockets, files or clocks. Times are milliseconds on this machine's own clock, which never runs
 backwards; no other machine's clock is compared with it. The caller carries out the writes in their order,
-tells
-`durable`, and delivers messages in any order, late, twice or not at all.
+tells `durable`, and delivers messages in any order, late, twice or not at all.
 
-What a message promises of this replica (a vote, an acknowledgement) leaves only once the write that it
-rests on
-is durable. Entries may go out before the leader has them on its own disk: it counts for their majority only
-from then on.
+What a message promises of this replica (a vote, an acknowledgement) leaves only once the write that it rests
+on is durable. Entries may go out before the leader has them on its own disk: it counts for their majority
+only from then on.
 """
 
 from __future__ import annotations
@@ -210,8 +208,8 @@
     def age_ms(self, now: float) -> float:
         """For how long there may be committed writes that are not applied here: a bound, by our own clock.
 
-        A leader knows all that was committed until its leadership was last confirmed; it tells the others how
-        long ago that was, and echoes their clocks, so that no message is younger than it claims.
+        A leader knows all that was committed until its leadership was last confirmed; it tells the others
+        how long ago that was, and echoes their clocks, so that no message is younger than it claims.
         """
         if self.leading():
             return now - self.confirmed_at
@@ -286,8 +284,7 @@
 
     def _patience(self) -> float:
         """How long a leader's silence lasts before we stand. Those of the leader's own zone stand last: a
-        zone
-        that is lost whole took its leader along, and its others must not be in the way."""
+        zone that is lost whole took its leader along, and its others must not be in the way."""
         span = self.settings.election_ms
         zones = {m.zone for m in self.members if m.voter}
         mine = self.member(self.me)
@@ -516,8 +513,7 @@
         self._send(AppendReply(self.me, m.src, self.term, True, end, m.prev_index, m.round, now))
 
     def _may_match(self, m: Append) -> int:
-        """The highest index below a place that does not match which still may: a whole term is passed
-        over."""
+        """The highest index that may match, below one that does not: a whole term is passed over."""
         at = min(m.prev_index - 1, self.last)
         wrong = self.term_at(m.prev_index)
         while at > self.commit and wrong is not None and self.term_at(at) == wrong:
@@ -669,8 +665,7 @@
         """Commit what a majority has on its disks.
 
         Danger: an entry of an earlier term is committed only by one of ours behind it; by count alone it
-        could
-        still be replaced.
+        could still be replaced.
         """
         index = self._quorum({name: peer.match for name, peer in self.peers.items()}, self._stable)
         if index > self.commit and self.term_at(index) == self.term:
--- a/yewstage/raft/disk.py
+++ b/yewstage/raft/disk.py
@@ -1,11 +1,10 @@
 """The durable part of replicas: segments of records, each with its checksum, and a snapshot that they go on
 from.
 
-A segment begins with the term and vote in force, so that older segments may go whole. A record is 12 bytes of
-head (length, checksum of its body, checksum of those eight bytes) and a body in MessagePack. A crash can
-leave
-a last record that is not whole, which nobody was told of: it is cut off. Anything else that does not fit is
-damage, and a replica that forgets may vote twice: the start ends there.
+A segment begins with the term and vote in force, so that older segments may go whole. A record is 12 bytes
+of head (length, checksum of its body, checksum of those eight bytes) and a body in MessagePack. A crash can
+leave a last record that is not whole, which nobody was told of: it is cut off. Anything else that does not
+fit is damage, and a replica that forgets may vote twice: the start ends there.
 """
 
 from __future__ import annotations
--- a/yewstage/raft/messages.py
+++ b/yewstage/raft/messages.py
@@ -1,7 +1,7 @@
 """What replicas of a group tell one another, and what they keep: plain values, in MessagePack on the wire.
 
-Arrays without names: a later version may add fields at the end, with defaults, and each side passes over what
-it does not know.
+Arrays without names: a later version may add fields at the end, with defaults, and each side passes over
+what it does not know.
 """
 
 from __future__ import annotations
--- a/yewstage/registry/ledger.py
+++ b/yewstage/registry/ledger.py
@@ -52,8 +52,7 @@
 
     async def write(self, plan: Plan) -> bool:
         """Bring a write about: True once it is durable, False where the plan makes no entry and all that it
-        was
-        made on holds. RefusedError, FullError, ElsewhereError, LaterError."""
+        was made on holds. RefusedError, FullError, ElsewhereError, LaterError."""
 
     def close(self) -> None:
         """Nothing more is written."""
