--- a/plumwall/emulator/hosts.py
+++ b/plumwall/emulator/hosts.py
@@ -289,7 +289,7 @@
         address: Callable[[GatewaySpec], str],
     ) -> None:
         self.drawn, self.loop, self.write, self.address = drawn, loop, write, address
-        self.shared = drawn.scenario.listing.source == "registry"
+        self.shared = drawn.scenario.listing.source != "agent"
         self._registrar: Registrar | None = None
         self.t0 = 0.0  # when the load begins, milliseconds
         self.windows = {c.name: c.window_ms for c in drawn.scenario.classes}
@@ -336,7 +336,7 @@
                 host.start(cold=False)
         self.loop.call_later(IDLE_LOOK_S, self._close_idle)
 
-    async def register(self, at: Address) -> int:
+    async def register(self, at: list[Address]) -> int:
         """Register all that are there at the start with the list service; how many they are."""
         self._registrar = Registrar(at, [g.name for g in self.drawn.gateways], self.write, self.now)
         here = [(host.spec, host.address()) for host in self.hosts.values() if host.spec.at_start]
--- a/plumwall/emulator/registrar.py
+++ b/plumwall/emulator/registrar.py
@@ -21,9 +21,13 @@
     """What one process's servers say to the list service, one call at a time."""
 
     def __init__(
-        self, at: Address, gateways: list[str], write: Callable[[r.Record], None], now: Callable[[], float]
+        self,
+        at: list[Address],
+        gateways: list[str],
+        write: Callable[[r.Record], None],
+        now: Callable[[], float],
     ) -> None:
-        self._client, self._gateways, self._write, self._now = Client([at]), gateways, write, now
+        self._client, self._gateways, self._write, self._now = Client(at), gateways, write, now
         self._here: dict[str, tuple[ServerSpec, str, float]] = {}  # spec, address, start
         self._news: dict[str, int] = {}  # by server, how much has become of it
         self._tasks: set[asyncio.Task] = set()
--- a/plumwall/emulator/run.py
+++ b/plumwall/emulator/run.py
@@ -15,7 +15,7 @@
 from plumwall import scenario as scenarios
 from plumwall.emulator.fleet import Gateway, StartError, run_command
 from plumwall.emulator.identity import host_of
-from plumwall.emulator.listservice import ListService
+from plumwall.emulator.listservice import HeldList, ListService
 from plumwall.emulator.metrics import Exporter
 from plumwall.emulator.process import ROOT, Lines, raise_descriptors, spawn_module
 from plumwall.emulator.tally import Row, Second, Tally
@@ -96,7 +96,7 @@
         self._workers: dict[str, Lines] = {}
         self._answers: dict[str, asyncio.Future] = {}
         self.gateways: dict[str, Gateway] = {}
-        self.registry: ListService | None = None
+        self.registry: ListService | HeldList | None = None
         self._states: dict[str, str] = {}
         self._tasks: set[asyncio.Task] = set()
         self._last_fault = ""
@@ -148,7 +148,7 @@
             f"{len(self.drawn.tries)} requests by seed {self.options.seed}"
         )
         backing = await self._start_world()
-        if self.scenario.listing.source == "registry":
+        if self.scenario.listing.source != "agent":
             await self._start_registry(backing)
         root = self.options.deploy.resolve().parent.parent
         for spec in self.drawn.gateways:
@@ -227,16 +227,17 @@
 
     async def _start_registry(self, backing: dict[str, dict[str, str]]) -> None:
         """The project's own list service in place of the agents; servers register before gateways start."""
-        self.registry = ListService(self.folder, self._host(0), self.options.log_format)
-        address = await self.registry.start()
-        self._say(f"the list service is at {address}: plumwall servers --at {address}")
+        kind = ListService if self.scenario.listing.source == "registry" else HeldList
+        self.registry = kind(self.folder, self._host(0), self.options.log_format)
+        at = await self.registry.start()
+        self._say(f"the list service is at {','.join(at)}: plumwall servers --at {','.join(at)}")
         hosts = [name for name in self._workers if name.startswith("hosts")]
         for name in hosts:
-            self._workers[name].tell({"registry": address})
+            self._workers[name].tell({"registry": at})
         for name in hosts:
             await self._answer(f"{name}:registered")
-        for addresses in backing.values():
-            addresses["discovery"] = address
+        for number, addresses in enumerate(backing.values()):
+            addresses["discovery"] = at[number % len(at)]
 
     async def _start_worker(self, role: str, shard: int, shards: int) -> None:
         process = await spawn_module(
@@ -338,6 +339,8 @@
         self._writer.write(r.Fault(self._now(), change.kind, change.target, change.size))
         self._exporter.fault(change.kind)
         self._last_fault = f"{change.at_ms / 1000:.1f} s {change.kind} {change.target}"
+        if change.kind in ("holding_lost", "holding_start"):
+            self._spawn(self.registry.change(change.kind, change.target))
         gateway = self.gateways.get(change.target)
         if gateway is None:
             return
--- a/plumwall/emulator/worker.py
+++ b/plumwall/emulator/worker.py
@@ -23,6 +23,7 @@
 from plumwall.emulator.hosts import HostsOf
 from plumwall.emulator.identity import host_of
 from plumwall.world.drawn import Change, Drawn, GatewaySpec
+from yewstage.net.config import Address, address
 
 TICK_S = 1.0
 FLUSH_S = 0.5
@@ -103,12 +104,12 @@
     def told(self, line: dict[str, object]) -> None:
         """Where the list service is; when the load begins."""
         if "registry" in line:
-            host, _, port = line["registry"].rpartition(":")
-            self._registering = self._worker.loop.create_task(self._register((host, int(port))))
+            at = [address({"registry": one}, "registry") for one in line["registry"]]
+            self._registering = self._worker.loop.create_task(self._register(at))
         elif "go" in line:
             self._hosts.begin(line["go"])
 
-    async def _register(self, at: tuple[str, int]) -> None:
+    async def _register(self, at: list[Address]) -> None:
         self._worker.say(registered=await self._hosts.register(at))
 
     def change(self, change: Change) -> None:
--- a/plumwall/faults/machines.py
+++ b/plumwall/faults/machines.py
@@ -134,6 +134,14 @@
             machine.sync_ms = sync_ms
 
     async def __aenter__(self) -> Machines:
+        await self.open()
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        await self.close()
+
+    async def open(self) -> None:
+        """Start all."""
         for machine in self.all:
             for other in self.all:
                 if other is not machine:
@@ -141,9 +149,9 @@
                     await machine.links[other.name].start(HOST)
         for machine in self.all:
             await self.start(machine)
-        return self
 
-    async def __aexit__(self, *exc: object) -> None:
+    async def close(self) -> None:
+        """End all."""
         for machine in self.all:
             if machine.up():
                 machine.wake()
--- a/plumwall/scenario.py
+++ b/plumwall/scenario.py
@@ -341,8 +341,8 @@
     """The list of servers."""
 
     source: Annotated[
-        Literal["agent", "registry"],
-        Meta(description="an agent beside each gateway, or the project's own list service"),
+        Literal["agent", "registry", "holding"],
+        Meta(description="agents beside gateways, the project's own list service, or three replicas of it"),
     ] = "agent"
     notice_s: Annotated[
         Span, Meta(description="after which a gateway's list knows of a drain or a dead process")
@@ -369,6 +369,7 @@
             "counter_down",
             "gateway_killed",
             "gateway_restarted",
+            "holding_lost",
             "reconfigured",
             "release",
             "flood",
@@ -535,10 +536,12 @@
         raise ScenarioError(f"{path}.zone: {fault.zone!r} is none of fleet.zones")
     if fault.kind in ("zone_lost", "cut_off") and len(zones) < 2:
         raise ScenarioError(f"{path}.kind: {fault.kind} needs two zones or more")
-    if fault.kind in ("cut_off", "late_list", "list_down") and scenario.listing.source == "registry":
+    if fault.kind in ("cut_off", "late_list", "list_down") and scenario.listing.source != "agent":
         raise ScenarioError(
             f"{path}.kind: {fault.kind} needs listing.source agent, which keeps gateways apart"
         )
+    if fault.kind == "holding_lost" and scenario.listing.source != "holding":
+        raise ScenarioError(f"{path}.kind: holding_lost needs listing.source holding")
     if fault.kind in ("fail_fast", "reset") and fault.size.most > 1:
         raise ScenarioError(f"{path}.size: is a share, 1 at most")
     if fault.kind in ("slow", "late_list") and fault.size.least < 1:
--- a/plumwall/world/drawn.py
+++ b/plumwall/world/drawn.py
@@ -489,9 +489,11 @@
         ]
 
 
+HOLDING_MACHINES = 3
+
 # Faults that are one change and its end: what they strike, both changes, and the size that is none; no size
 # where there is none to tell.
-SERVERS, GATEWAYS, ALL = "servers", "gateways", "all"
+SERVERS, GATEWAYS, HOLDING, ALL = "servers", "gateways", "holding", "all"
 SIMPLE = {
     "crash": (SERVERS, "server_crash", "server_start", None),
     "vanish": (SERVERS, "server_silent", "server_start", None),
@@ -502,6 +504,7 @@
     "list_down": (ALL, "list_down", "list_up", None),
     "counter_down": (ALL, "counter_down", "counter_up", None),
     "gateway_killed": (GATEWAYS, "gateway_kill", "gateway_start", None),
+    "holding_lost": (HOLDING, "holding_lost", "holding_start", None),
 }
 
 
@@ -530,6 +533,9 @@
     def _gateways(self, rng: np.random.Generator, part: float) -> list[str]:
         return self._some(rng, [gateway.name for gateway in self._drawn.gateways], part)
 
+    def _holding(self, rng: np.random.Generator, part: float) -> list[str]:
+        return self._some(rng, [f"m{i}" for i in range(HOLDING_MACHINES)], part)
+
     def _some(self, rng: np.random.Generator, names: Sequence[str], part: float) -> list[str]:
         picked = rng.choice(len(names), _struck(len(names), part), replace=False)
         return [names[i] for i in sorted(picked)]
@@ -542,7 +548,8 @@
         self, fault: Fault, rng: np.random.Generator, part: float, at: float, until: float
     ) -> Iterator[Change]:
         strikes, begins, ends, none = SIMPLE[fault.kind]
-        names = {SERVERS: self._servers, GATEWAYS: self._gateways, ALL: lambda rng, part: [""]}[strikes]
+        struck = {SERVERS: self._servers, GATEWAYS: self._gateways, HOLDING: self._holding}
+        names = struck.get(strikes, lambda rng, part: [""])
         for name in names(rng, part):
             size = 0.0 if none is None else between(rng, fault.size)
             yield Change(at, begins, name, size)
