--- a/plumwall/cli/holding.py
+++ b/plumwall/cli/holding.py
@@ -24,7 +24,7 @@
 from yewstage.holding.recover import begin_again, read_backup
 from yewstage.net.config import Address, ConfigError
 from yewstage.raft.disk import DiskError
-from yewstage.registry.client import Client, SilentError
+from yewstage.registry.client import ask_once
 from yewstage.registry.config import read
 
 WAIT_S = 2.0
@@ -51,18 +51,7 @@
 
 
 async def _statuses(at: list[Address]) -> list[dict[str, object]]:
-    async def one(address: Address) -> dict[str, object]:
-        client = Client([address])
-        try:
-            async with asyncio.timeout(WAIT_S):
-                told = await client.call("GET", "/v1/holding/status")
-            return told.body if told.status == 200 else {}
-        except (SilentError, TimeoutError):
-            return {}
-        finally:
-            client.close()
-
-    return list(await asyncio.gather(*map(one, at)))
+    return list(await asyncio.gather(*(ask_once(one, "/v1/holding/status", WAIT_S) for one in at)))
 
 
 def _trouble(status: dict[str, object]) -> str:
--- a/plumwall/faults/machines.py
+++ b/plumwall/faults/machines.py
@@ -13,10 +13,11 @@
 
 from plumwall.emulator.process import kill, spawn_module
 from plumwall.faults.links import StandIn
-from yewstage.registry.client import Client, SilentError
+from yewstage.registry.client import Client, ask_once
 
 HOST = "127.0.0.1"
 ZONES = ("a", "b", "c")
+STATUS_S = 1.0  # how long one may take to say how it is
 
 
 def hindered(module: str, sync_ms: float = 0.0, file_bytes: int = 0, clock_s: float = 0.0) -> list[str]:
@@ -188,15 +189,7 @@
 
     async def status(self, machine: Machine) -> dict[str, object]:
         """What one says of itself; nothing if it does not answer."""
-        client = Client([(HOST, machine.listen)])
-        try:
-            async with asyncio.timeout(1.0):
-                told = await client.call("GET", "/v1/holding/status")
-            return told.body if told.status == 200 else {}
-        except (SilentError, TimeoutError):
-            return {}
-        finally:
-            client.close()
+        return await ask_once((HOST, machine.listen), "/v1/holding/status", STATUS_S)
 
     async def init(self, chosen: list[Machine]) -> None:
         """Begin a group on these."""
--- a/yewstage/registry/client.py
+++ b/yewstage/registry/client.py
@@ -112,6 +112,19 @@
             raise SilentError("no answer in time") from None
 
 
+async def ask_once(at: Address, path: str, within_s: float) -> dict[str, object]:
+    """What one address answers to a question; nothing where no good answer comes in time."""
+    client = Client([at])
+    try:
+        async with asyncio.timeout(within_s):
+            told = await client.call("GET", path)
+        return told.body if told.status == 200 else {}
+    except (SilentError, TimeoutError):
+        return {}
+    finally:
+        client.close()
+
+
 def _told(reply: Reply) -> Told:
     """An answer's JSON; ValueError where it is none."""
     body = json.loads(reply.body or b"{}")
