--- a/plumwall/faults/torture.py
+++ b/plumwall/faults/torture.py
@@ -41,7 +41,7 @@
     faults: dict[str, float]
 
 
-FAULTS = ("lost", "leader_lost", "killed", "torn", "earlier", "paused", "deaf", "mute", "cut")
+FAULTS = ("lost", "member_lost", "leader_lost", "killed", "torn", "earlier", "paused", "deaf", "mute", "cut")
 
 
 def read_plan(name: str) -> Plan:
@@ -82,6 +82,9 @@
     return drawn
 
 
+WITH_DISK = ("lost", "member_lost", "leader_lost", "zone_lost")
+
+
 class BreachError(AssertionError):
     """A promise was broken."""
 
@@ -239,6 +242,9 @@
             hit = [m for m in self._machines.all if m.zone == ZONES[turn.at]]
         elif turn.fault == "leader_lost":
             hit = [leader]
+        elif turn.fault == "member_lost":
+            names = [m["id"].rpartition(".")[0] for m in (await self._machines.whole())["members"]]
+            hit = [m for m in self._machines.all if m.name == names[turn.at % len(names)]]
         self._say(f"round {turn.number}: {turn.fault} {', '.join(m.name for m in hit)}")
         self.load.longest_s, self.load.last_at = 0.0, time.monotonic()
         began = time.monotonic()
@@ -273,7 +279,7 @@
         if fault == "earlier":
             hit[0].keep_copy()
             await asyncio.sleep(FAULT_S)
-        await asyncio.gather(*(m.kill(fault in ("lost", "leader_lost", "zone_lost")) for m in hit))
+        await asyncio.gather(*(m.kill(fault in WITH_DISK) for m in hit))
         if fault == "torn":
             hit[0].tear(7)
         elif fault == "earlier":
