Say once who leads, how a group begins and what a plan is, and take out what nobody read

Read again whole: the answer that names the leader stood three times, the choice of who begins a group twice, the type of a plan twice; a field of the replica and one of the group's result were read by nobody. Left as they are: the starts of the list service and the holding, whose like lines differ in their errors, and the shapes of drain and undrain.

--- a/plumwall/cli/holding.py
+++ b/plumwall/cli/holding.py
@@ -21,6 +21,7 @@
 from plumwall.cli.servers import ask, at_option
 from plumwall.cli.service import become, chosen_format, log_format
 from yewstage.holding.config import holding as read_config
+from yewstage.holding.members import to_begin
 from yewstage.holding.recover import begin_again, read_backup
 from yewstage.net.config import Address, ConfigError
 from yewstage.raft.disk import DiskError
@@ -136,8 +137,7 @@
             )
     if len({told["cluster"] for told in statuses}) > 1:
         raise WorkFailedError("they are of several clusters; nothing was changed")
-    members = [{key: told[key] for key in ("id", "name", "zone", "peer", "call")} for told in statuses]
-    first = min(range(len(at)), key=lambda i: statuses[i]["id"])
+    first, members = to_begin(statuses)
     ask([at[first]], "POST", "/v1/holding/init", {"members": members})
     click.echo(f"begun on {', '.join(sorted(told['id'] for told in statuses))}")
 
--- a/plumwall/faults/machines.py
+++ b/plumwall/faults/machines.py
@@ -13,6 +13,7 @@
 
 from plumwall.emulator.process import kill, spawn_module
 from plumwall.faults.links import StandIn
+from yewstage.holding.members import to_begin
 from yewstage.registry.client import Client, ask_once
 
 HOST = "127.0.0.1"
@@ -130,7 +131,6 @@
 
     def __init__(self, folder: Path, count: int, sync_ms: float = 0, **changes: object) -> None:
         self.all = [Machine(f"m{i}", ZONES[i % len(ZONES)], folder / f"m{i}", changes) for i in range(count)]
-
         for machine in self.all:
             machine.sync_ms = sync_ms
 
@@ -193,10 +193,8 @@
 
     async def init(self, chosen: list[Machine]) -> None:
         """Begin a group on these."""
-        rows = [await self.status(machine) for machine in chosen]
-        members = [{key: row[key] for key in ("id", "name", "zone", "peer", "call")} for row in rows]
-        first = chosen[min(range(len(rows)), key=lambda i: rows[i]["id"])]
-        client = Client([(HOST, first.listen)])
+        first, members = to_begin([await self.status(machine) for machine in chosen])
+        client = Client([(HOST, chosen[first].listen)])
         told = await client.call("POST", "/v1/holding/init", {"members": members})
         client.close()
         if told.status != 200:
--- a/plumwall/model/explore.py
+++ b/plumwall/model/explore.py
@@ -16,7 +16,7 @@
 
 from plumwall.model.cluster import SETTINGS, TTL_MS, BreachError, Cluster, Planted
 from plumwall.model.scenes import SCENES
-from yewstage.raft.messages import Member, Members
+from yewstage.raft.messages import Members
 
 Step = tuple[str, ...]
 HOLDERS = ("h1", "h2")
@@ -101,10 +101,10 @@
     new = [n.member for n in cluster.nodes if all(n.member.id != m.id for m in members)]
     gone = {m.id for m in members} - {n.member.id for n in cluster.nodes}
     if choice == 0 and new:
-        return (*members, replace_voter(new[0], False))
+        return (*members, structs.replace(new[0], voter=False))
     if choice == 1:
         learners = [m for m in members if not m.voter]
-        return tuple(replace_voter(m, True) if learners and m.id == learners[0].id else m for m in members)
+        return tuple(structs.replace(m, voter=True) if m in learners[:1] else m for m in members)
     if choice == 2 and gone:
         return tuple(m for m in members if m.id != min(gone))
     if choice == 3 and new:
@@ -112,13 +112,7 @@
     return members[:-1] if choice == 4 and len(members) > 1 else members
 
 
-def replace_voter(member: Member, voter: bool) -> Member:
-    """The same member, with a vote or without."""
-    return structs.replace(member, voter=voter)
-
-
-# --- Random plans
-# ---------------------------------------------------------------------------------------------
+# --- Random plans -----------------------------------------------------------------------------------------
 
 KINDS = {
     "deliver": 50,
@@ -287,8 +281,7 @@
     return total
 
 
-# --- All orders
-# -----------------------------------------------------------------------------------------------
+# --- All orders -------------------------------------------------------------------------------------------
 
 
 def frozen(value: object) -> object:
@@ -312,8 +305,7 @@
 
 
 # How often each kind of step may stand in one order: what is rare in life is rare here, and the rest is
-# bounded
-# by the depth alone.
+# bounded by the depth alone.
 RARE = {
     "lose": 1,
     "repeat": 1,
--- a/yewstage/holding/group.py
+++ b/yewstage/holding/group.py
@@ -11,16 +11,15 @@
 
 import random
 from collections import deque
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import msgspec
 
 from yewstage.raft.core import LEADER, NotLeaderError, Output, Replica, Saved, Settings, Write
 from yewstage.raft.messages import DATA, AnyMessage, Member
-from yewstage.registry.store import Entry, RefusedError, Rules, Store
+from yewstage.registry.store import Plan, RefusedError, Rules, Store
 
-Plan = Callable[[Store, float], Entry | None]
+GROUP = "list"  # the one group that there is
 encode_entry = msgspec.msgpack.Encoder().encode
 decode_entry = msgspec.msgpack.Decoder(dict[str, object]).decode
 
@@ -45,7 +44,6 @@
     writes: list[Write] = field(default_factory=list)
     done: list[Done] = field(default_factory=list)
     changed: bool = False  # the store that is read
-    replaced: bool = False  # it is another object
 
 
 @dataclass(slots=True)
@@ -168,7 +166,7 @@
     def _install(self, out: Output, result: Result, now: float) -> None:
         self.store = Store.restored(self.rules, decode_entry(out.install.data), now)
         self.applied, self.applied_since = out.install.index, 0
-        result.changed = result.replaced = True
+        result.changed = True
 
     def _answer(self, out: Output, result: Result) -> None:
         while self._writes and self._writes[0].index <= self.applied:
--- a/yewstage/holding/ledger.py
+++ b/yewstage/holding/ledger.py
@@ -13,8 +13,8 @@
 from yewstage.raft.core import BusyError, NotLeaderError, Write
 from yewstage.raft.disk import Disk, FullError
 from yewstage.raft.messages import AnyMessage, Members
-from yewstage.registry.ledger import ElsewhereError, LaterError, Plan
-from yewstage.registry.store import Entry, Store
+from yewstage.registry.ledger import ElsewhereError, LaterError
+from yewstage.registry.store import Entry, Plan, Store
 
 log = logging.getLogger(__name__)
 
@@ -145,11 +145,9 @@
         self._soon = False
         if self._halted:
             return
-        result = self.group.take(self.now())
         if self.group.applied_since >= self._most:
             self.group.compact(self.now())
-            self._queue += result.writes
-            result.writes = self.group.take(self.now()).writes
+        result = self.group.take(self.now())
         for message in result.messages:
             self._send(message)
         self._queue += result.writes
--- a/yewstage/holding/members.py
+++ b/yewstage/holding/members.py
@@ -51,6 +51,12 @@
     return None
 
 
+def to_begin(statuses: list[dict[str, object]]) -> tuple[int, list[dict[str, object]]]:
+    """By what processes say of themselves: which one begins a group of all, and the members it is told."""
+    members = [{key: told[key] for key in ("id", "name", "zone", "peer", "call")} for told in statuses]
+    return min(range(len(members)), key=lambda i: members[i]["id"]), members
+
+
 def used_twice(view: View) -> list[str]:
     """Names under which two processes are there at once: neither is let in by that name."""
     count = Counter(m.name for m in view.present)
--- a/yewstage/holding/node.py
+++ b/yewstage/holding/node.py
@@ -11,13 +11,13 @@
 from msgspec import structs
 
 from yewstage.holding.config import HoldingConfig
-from yewstage.holding.group import Group, first_data
+from yewstage.holding.group import GROUP, Group, first_data
 from yewstage.holding.identity import Folder
 from yewstage.holding.ledger import Copied
 from yewstage.holding.link import VERSION, Hearing, Hello, Link, Said, frame
 from yewstage.holding.members import View, next_change, used_twice
 from yewstage.holding.recover import FORMAT as BACKUP_FORMAT
-from yewstage.holding.recover import GROUP, Backup
+from yewstage.holding.recover import Backup
 from yewstage.log import Event, at
 from yewstage.metrics import Metric, count, gauge
 from yewstage.net.config import Address, ConfigError
@@ -26,7 +26,7 @@
 from yewstage.raft.disk import Disk
 from yewstage.raft.messages import AnyMessage, Member, Members
 from yewstage.registry.ledger import ElsewhereError, LaterError
-from yewstage.registry.server import Registry, failed, said
+from yewstage.registry.server import Registry, failed, misdirected, said
 
 log = logging.getLogger(__name__)
 
@@ -362,8 +362,7 @@
             held = Backup(BACKUP_FORMAT, self.config.cluster, self.ledger.group.applied, state)
             caller.answer(said(200, msgspec.to_builtins(held)))
         except ElsewhereError as error:
-            where = {"error": str(error), "leader": error.at}
-            caller.answer(said(421, where) if error.at else failed(503, str(error)))
+            caller.answer(misdirected(error) if error.at else failed(503, str(error)))
         except LaterError as error:
             caller.answer(failed(503, str(error)))
 
@@ -374,7 +373,7 @@
             member = self.ledger.group.replica.member(error.leader)
             if member is None:
                 return failed(503, "no leader is known")
-            return said(421, {"error": f"not the leader; it is {member.call}", "leader": member.call})
+            return misdirected(ElsewhereError(member.call))
         except BusyError as error:
             return failed(409, str(error))
         return said(200, {})
--- a/yewstage/holding/recover.py
+++ b/yewstage/holding/recover.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from yewstage.holding.config import HoldingConfig
-from yewstage.holding.group import decode_entry, encode_entry
+from yewstage.holding.group import GROUP, decode_entry, encode_entry
 from yewstage.holding.identity import Folder, meta_of
 from yewstage.raft.core import Write, first_state
 from yewstage.raft.disk import Disk, DiskError
@@ -22,7 +22,6 @@
 
 FORMAT = 1
 TOKENS_AHEAD = 1_000_000  # more than were granted between a backup and the loss
-GROUP = "list"
 
 
 class Backup(msgspec.Struct, forbid_unknown_fields=True):
--- a/yewstage/raft/core.py
+++ b/yewstage/raft/core.py
@@ -151,7 +151,6 @@
         self._held: deque[tuple[int, AnyMessage]] = deque()
         self._heard_at = now  # of the leader. A fresh start knows nothing: it waits before it stands
         self._fresh_at = NEVER  # our own time as of which we know all that was committed
-        self._fresh_next: tuple[float, int] | None = None  # the same, once the commit has come so far
         self._part: tuple[tuple[int, int, int, int], bytearray] | None = None
         self.elections = 0
         # As a candidate or leader.
--- a/yewstage/registry/ledger.py
+++ b/yewstage/registry/ledger.py
@@ -11,12 +11,10 @@
 
 from yewstage.log import Event
 from yewstage.registry.log import FullError, Log
-from yewstage.registry.store import Entry, Store
+from yewstage.registry.store import Plan, Store
 
 log = logging.getLogger(__name__)
 
-Plan = Callable[[Store, float], Entry | None]  # against which store, at what time on its clock
-
 
 class ElsewhereError(Exception):
     """Another process takes writes. `at` is the address where it is called; empty: none is known."""
--- a/yewstage/registry/server.py
+++ b/yewstage/registry/server.py
@@ -15,9 +15,9 @@
 from yewstage.net.config import ConfigError
 from yewstage.net.serve import Answer, Call, Caller, Listener, Manners
 from yewstage.registry.config import NAME, Config, Fields
-from yewstage.registry.ledger import ElsewhereError, LaterError, Ledger, Plan
+from yewstage.registry.ledger import ElsewhereError, LaterError, Ledger
 from yewstage.registry.log import FullError
-from yewstage.registry.store import GONE, READY, Entry, Record, RefusedError, Store
+from yewstage.registry.store import GONE, READY, Entry, Plan, Record, RefusedError, Store
 
 log = logging.getLogger(__name__)
 
@@ -42,6 +42,11 @@
     return said(status, {"error": why, **({"field": field} if field else {})})
 
 
+def misdirected(error: ElsewhereError) -> Answer:
+    """Who does it instead."""
+    return said(421, {"error": str(error), "leader": error.at})
+
+
 class Registry:
     """Calls in, answers out."""
 
@@ -220,7 +225,7 @@
         """Writes go to the leader: told where that is; come back later while there is none."""
         if not error.at:
             return self._later(str(error))
-        return said(421, {"error": str(error), "leader": error.at})
+        return misdirected(error)
 
     async def _expire(self) -> None:
         """Let servers go whose time is up, as long as it is not most of them."""
--- a/yewstage/registry/store.py
+++ b/yewstage/registry/store.py
@@ -10,11 +10,12 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import asdict, dataclass, replace
 
 READY, DRAINING, GONE = "ready", "draining", "gone"
 Entry = dict[str, object]
+Plan = Callable[["Store", float], Entry | None]  # against which store, at what time on its clock
 
 
 class RefusedError(Exception):
