--- a/plumwall/cli/holding.py
+++ b/plumwall/cli/holding.py
@@ -21,16 +21,17 @@
 from plumwall.cli.servers import ask, at_option
 from plumwall.cli.service import become, chosen_format, log_format
 from yewstage.holding.config import holding as read_config
+from yewstage.holding.kinds import LIST, MOST_KEYED, PLACES
 from yewstage.holding.members import to_begin
-from yewstage.holding.recover import begin_again, read_backup
+from yewstage.holding.recover import begin_again, read_backups
 from yewstage.net.config import Address, ConfigError
 from yewstage.raft.disk import DiskError
 from yewstage.registry.client import ask_once
 from yewstage.registry.config import read
 
 WAIT_S = 2.0
-COLUMNS = ("process", "role", "term", "leader", "commit", "age ms", "short", "disk bytes", "trouble")
-MEMBER_COLUMNS = ("member", "zone", "vote", "behind", "heard ms ago", "called at")
+PROCESS_COLUMNS = ("process", "zone", "groups", "leads", "epoch", "disk bytes", "trouble")
+GROUP_COLUMNS = ("group", "led by", "term", "commit", "copies", "short", "most behind", "homes")
 
 
 @click.group()
@@ -56,20 +57,43 @@
 
 
 def _trouble(status: dict[str, object]) -> str:
+    """What is wrong with one process, in one line."""
     if not status["begun"]:
-        return "waits to be let in, or for a group to be begun"
-    if status["full"]:
-        return str(status["full"])
+        return "waits to be let in, or for a cluster to be begun"
+    full = [f"{group}: {here['full']}" for group, here in status["groups"].items() if here["full"]]
+    if full:
+        return "; ".join(full)
     if status["usedTwice"]:
         return f"names used twice: {', '.join(status['usedTwice'])}"
-    return "" if status["leader"] else "no leader: a majority is not there, writes are refused"
+    if not status["epoch"]:
+        return "no places are agreed: run plumwall holding init"
+    alone = [group for group, here in status["groups"].items() if not here["leader"]]
+    if alone:
+        return f"no leader of {', '.join(alone)}: a majority is not there, writes are refused"
+    return "out: holds nothing new" if status["name"] in status["out"] else ""
+
+
+def _leaders(statuses: list[dict[str, object]]) -> dict[str, tuple[str, dict[str, object]]]:
+    """Of each group who leads it, by the highest term, and what that one says of it."""
+    found: dict[str, tuple[str, dict[str, object]]] = {}
+    for told in statuses:
+        for group, here in told["groups"].items() if told else ():
+            if here["role"] == "leader" and here["term"] > found.get(group, ("", {"term": 0}))[1]["term"]:
+                found[group] = told["name"], here
+    return found
+
+
+def _homes(statuses: list[dict[str, object]]) -> dict[str, list[str]]:
+    """Of each group where it is to be, by the newest table."""
+    newest = max((s for s in statuses if s), key=lambda s: s["epoch"], default=None)
+    return newest["homes"] if newest else {}
 
 
 @holding.command()
 @at_option
 @as_json
 def status(at: list[Address], json_: bool) -> None:
-    """Show who holds what: replicas, zones, lag, age, copies that are missing. 1 if some process or copy is.
+    """Show who holds what: processes, groups, zones, lag, copies that are missing. 1 if something is.
 
     \b
     Example:
@@ -77,51 +101,46 @@
     """
     statuses = asyncio.run(_statuses(at))
     names = [f"{host}:{port}" for host, port in at]
+    leaders, homes = _leaders(statuses), _homes(statuses)
     if json_:
         say_json(dict(zip(names, statuses, strict=True)))
     else:
-        rows = [
-            [
-                s["id"],
-                s["role"],
-                s["term"],
-                s["leader"] or "none",
-                s["commit"],
-                "unknown" if s["ageMs"] is None else s["ageMs"],
-                "" if s["short"] < 0 else s["short"],
-                s["diskBytes"],
-                _trouble(s),
-            ]
-            if s
-            else [name, "no answer", *[""] * 7]
-            for name, s in zip(names, statuses, strict=True)
-        ]
-        say_table(COLUMNS, rows)
-        for leads in (s for s in statuses if s and s["role"] == "leader"):
-            say_table(
-                MEMBER_COLUMNS,
-                [
-                    [
-                        m["id"],
-                        m["zone"],
-                        "yes" if m["voter"] else "learner",
-                        "" if m["behind"] is None else m["behind"],
-                        "" if m["heardMsAgo"] is None else m["heardMsAgo"],
-                        m["call"],
-                    ]
-                    for m in leads["members"]
-                ],
-                f"members, as {leads['id']} leads them",
-            )
-    leads = [s for s in statuses if s and s["role"] == "leader"]
-    if not leads or leads[0]["short"] or not all(statuses):
+        say_table(PROCESS_COLUMNS, [_process_row(*pair) for pair in zip(names, statuses, strict=True)])
+        say_table(GROUP_COLUMNS, [_group_row(group, leaders.get(group), homes[group]) for group in homes])
+    short = any(group not in leaders or leaders[group][1]["short"] for group in homes)
+    if short or not homes or not all(statuses):
         raise SystemExit(1)
 
 
+def _process_row(name: str, told: dict[str, object]) -> list[object]:
+    if not told:
+        return [name, "", "no answer", *[""] * 4]
+    leads = [group for group, here in told["groups"].items() if here["role"] == "leader"]
+    groups = " ".join(told["groups"])
+    led = " ".join(leads)
+    return [told["id"], told["zone"], groups, led, told["epoch"], told["diskBytes"], _trouble(told)]
+
+
+def _group_row(group: str, led: tuple[str, dict[str, object]] | None, homes: list[str]) -> list[object]:
+    if led is None:
+        return [group, "nobody", *[""] * 5, " ".join(homes)]
+    name, here = led
+    voters = sum(m["voter"] for m in here["members"])
+    behind = max((m["behind"] or 0 for m in here["members"]), default=0)
+    return [group, name, here["term"], here["commit"], voters, here["short"], behind, " ".join(homes)]
+
+
 @holding.command()
 @at_option
-def init(at: list[Address]) -> None:
-    """Begin a group on these processes, all of them empty. Once, for a new cluster.
+@click.option(
+    "--keyed",
+    type=click.IntRange(0, MOST_KEYED),
+    default=4,
+    show_default=True,
+    help="Groups over which keys of requests are split; fixed from then on.",
+)
+def init(at: list[Address], keyed: int) -> None:
+    """Begin a cluster on these processes. Once; a list that is held already is taken in.
 
     \b
     Example:
@@ -131,66 +150,106 @@
     for (host, port), told in zip(at, statuses, strict=True):
         if not told:
             raise WorkFailedError(f"no answer from {host}:{port}; all have to be there")
-        if told["begun"]:
+        if told["epoch"] or any(group != LIST for group in told["groups"]):
             raise WorkFailedError(
                 f"{told['id']} at {host}:{port} holds something already; nothing was changed"
             )
     if len({told["cluster"] for told in statuses}) > 1:
         raise WorkFailedError("they are of several clusters; nothing was changed")
-    first, members = to_begin(statuses)
-    ask([at[first]], "POST", "/v1/holding/init", {"members": members})
-    click.echo(f"begun on {', '.join(sorted(told['id'] for told in statuses))}")
+    first, members = to_begin(statuses, PLACES)
+    body = {"members": members, "first": time.time() * 1000, "keyed": keyed}
+    told = ask([at[first]], "POST", "/v1/holding/init", body)
+    click.echo(f"{told['groups']} groups begun on {', '.join(sorted(s['id'] for s in statuses))}")
+
+
+def _say_homes(told: dict[str, object], json_: bool) -> None:
+    fields({"epoch": told["epoch"], **{g: " ".join(homes) for g, homes in told["homes"].items()}}, json_)
+
+
+@holding.command()
+@click.argument("group")
+@click.argument("old", metavar="FROM")
+@click.argument("new", metavar="TO")
+@at_option
+@as_json
+def move(group: str, old: str, new: str, at: list[Address], json_: bool) -> None:
+    """Move a group's copy from one machine to another. The old copy goes once the new one has all.
+
+    \b
+    Example:
+      plumwall holding move keys-2 g1 g7 --at 127.0.0.1:8501,127.0.0.1:8502
+    """
+    body = {"group": group, "from": old, "to": new}
+    _say_homes(ask(at, "POST", "/v1/holding/move", body, quiet=json_), json_)
+
+
+@holding.command()
+@click.argument("machine")
+@at_option
+@as_json
+def add(machine: str, at: list[Address], json_: bool) -> None:
+    """Give a machine its part of the groups, one after the other; also one that was taken out.
+
+    \b
+    Example:
+      plumwall holding add g7 --at 127.0.0.1:8501,127.0.0.1:8502
+    """
+    _say_homes(ask(at, "POST", "/v1/holding/add", {"name": machine}, quiet=json_), json_)
 
 
 @holding.command()
-@click.argument("member", metavar="ID")
+@click.argument("machine")
 @at_option
 @as_json
-def remove(member: str, at: list[Address], json_: bool) -> None:
-    """Take a member out for good, by the id that `status` shows; a machine that is there takes its place.
+def remove(machine: str, at: list[Address], json_: bool) -> None:
+    """Move all that a machine holds to others; `status` shows when nothing is left on it.
 
     \b
     Example:
-      plumwall holding remove g3.5f6bba4301ab --at 127.0.0.1:8501,127.0.0.1:8502
+      plumwall holding remove g3 --at 127.0.0.1:8501,127.0.0.1:8502
     """
-    ask(at, "POST", "/v1/holding/remove", {"id": member}, quiet=json_)
-    fields({"removed": member}, json_)
+    _say_homes(ask(at, "POST", "/v1/holding/remove", {"name": machine}, quiet=json_), json_)
 
 
 @holding.command()
 @click.argument("to", type=click.Path(dir_okay=False, path_type=Path))
 @at_option
 def backup(to: Path, at: list[Address]) -> None:
-    """Write all that is held, as the leader has it now, to a file.
+    """Write all that is held, group by group as each leader has it then, to a file.
 
     \b
     Example:
       plumwall holding backup held.json --at 127.0.0.1:8501,127.0.0.1:8502
     """
-    body = ask(at, "GET", "/v1/holding/backup")
+    homes = _homes(asyncio.run(_statuses(at)))
+    if not homes:
+        raise WorkFailedError("nobody there knows of any group")
+    bodies = [ask(at, "GET", f"/v1/holding/backup?group={group}") for group in homes]
     part = to.with_suffix(".part")
-    part.write_bytes(msgspec.json.encode(body))
+    part.write_bytes(b"\n".join(map(msgspec.json.encode, bodies)) + b"\n")
     part.rename(to)
-    state = body["state"]
-    click.echo(
-        f"index {body['index']} of {body['cluster']}: {len(state['records'])} servers, "
-        f"{len(state['leases'])} duties"
-    )
+    for body in bodies:
+        state = body["state"]
+        kinds = [kind for kind in ("records", "leases", "keys") if kind in state]
+        held = ", ".join(f"{len(state[kind])} {kind}" for kind in kinds)
+        click.echo(f"{body['group']}: index {body['index']} of {body['cluster']}{held and ': '}{held}")
 
 
 @holding.command()
 @click.option("--config", type=FILE, required=True, help="Of the process that begins, under a new `cluster`.")
 @click.option(
     "--from",
-    "source",
+    "sources",
     type=click.Path(exists=True, path_type=Path),
     required=True,
-    help="A backup, or the folder of a member that is left.",
+    multiple=True,
+    help="A backup, or the folder of a member that is left; several: of each group the newest counts.",
 )
-def restore(config: Path, source: Path) -> None:
-    """Begin again, when a majority is lost for good: one member on an empty folder, which spares then join.
+@click.option("--without", metavar="GROUP", multiple=True, help="A group that is lost, to begin empty.")
+def restore(config: Path, sources: tuple[Path, ...], without: tuple[str, ...]) -> None:
+    """Begin again, when majorities are lost for good: one member on an empty folder, which others then join.
 
-    What the old majority acknowledged later than that is lost. Nothing of the old cluster is touched,
+    What the old majorities acknowledged later than that is lost. Nothing of the old cluster is touched,
     and what comes back of it is refused.
 
     \b
@@ -199,25 +258,24 @@
     """
     try:
         known = read_config(read(str(config)))
-        found = read_backup(source)
-        name = begin_again(known, found, time.time() * 1000)
+        found = read_backups(sources)
+        name = begin_again(known, found, time.time() * 1000, without)
     except (ConfigError, DiskError) as error:
         raise BadFileError(str(error)) from None
-    click.echo(
-        f"{name} begins {known.cluster} with index {found.index} of {found.cluster}: "
-        f"{len(found.state['records'])} servers; start it, then the others on empty folders"
-    )
+    told = ", ".join(f"{group} at index {backup.index}" for group, backup in sorted(found.items()))
+    click.echo(f"{name} begins {known.cluster} with {told}; start it, then the others on empty folders")
 
 
 @holding.command("hand-over")
+@click.option("--group", default="", help="Only this one; else all that are led there.")
 @at_option
 @as_json
-def hand_over(at: list[Address], json_: bool) -> None:
-    """Let another replica lead, before its machine is worked on. Stopping a process does this by itself.
+def hand_over(group: str, at: list[Address], json_: bool) -> None:
+    """Let other replicas lead, before a machine is worked on. Stopping a process does this by itself.
 
     \b
     Example:
-      plumwall holding hand-over --at 127.0.0.1:8501,127.0.0.1:8502
+      plumwall holding hand-over --at 127.0.0.1:8501
     """
-    body = ask(at, "POST", "/v1/holding/hand-over", {}, quiet=json_)
-    fields({"handed": body.get("handed", False)}, json_)
+    body = ask(at, "POST", "/v1/holding/hand-over", {"group": group}, quiet=json_)
+    fields({"handed": " ".join(body["handed"]) or "nothing"}, json_)
--- a/plumwall/faults/machines.py
+++ b/plumwall/faults/machines.py
@@ -7,12 +7,14 @@
 import os
 import shutil
 import signal
+import time
 from pathlib import Path
 
 import msgspec
 
 from plumwall.emulator.process import kill, spawn_module
 from plumwall.faults.links import StandIn
+from yewstage.holding.kinds import LIST, PLACES
 from yewstage.holding.members import to_begin
 from yewstage.registry.client import Client, ask_once
 
@@ -121,9 +123,11 @@
         shutil.copytree(self.folder / "earlier", self.folder / "state")
 
     def tear(self, bytes_: int) -> None:
-        """Take the end of the newest segment off, as a crash in the middle of a write leaves it."""
-        newest = max((self.folder / "state" / "list").glob("log-*"))
-        os.truncate(newest, max(newest.stat().st_size - bytes_, 0))
+        """Take the end of each group's newest segment off, as a crash in the middle of a write leaves it."""
+        for group in (self.folder / "state").glob("*/log-*"):
+            newest = max(group.parent.glob("log-*"))
+            if group == newest:
+                os.truncate(newest, max(newest.stat().st_size - bytes_, 0))
 
 
 class Machines:
@@ -191,38 +195,61 @@
         """What one says of itself; nothing if it does not answer."""
         return await ask_once((HOST, machine.listen), "/v1/holding/status", STATUS_S)
 
-    async def init(self, chosen: list[Machine]) -> None:
-        """Begin a group on these."""
-        first, members = to_begin([await self.status(machine) for machine in chosen])
+    async def init(self, chosen: list[Machine], keyed: int = 1) -> None:
+        """Begin a cluster on these."""
+        first, members = to_begin([await self.status(machine) for machine in chosen], PLACES)
         client = Client([(HOST, chosen[first].listen)])
-        told = await client.call("POST", "/v1/holding/init", {"members": members})
+        body = {"members": members, "first": time.time() * 1000, "keyed": keyed}
+        told = await client.call("POST", "/v1/holding/init", body)
         client.close()
         if told.status != 200:
             raise RuntimeError(f"init: {told}")
 
-    async def leader(self) -> Machine:
-        """Who leads, once somebody does."""
+    async def leader(self, group: str = LIST) -> Machine:
+        """Who leads a group, once somebody does."""
         while True:
             for machine in self.all:
-                if machine.up() and (await self.status(machine)).get("role") == "leader":
+                if machine.up() and await self.leads(machine, group):
                     return machine
             await asyncio.sleep(0.05)
 
-    async def whole(self) -> dict[str, object]:
-        """Wait until every copy is there, on the disk that its machine has now, and no change is under way;
-        the leader's status."""
+    async def leads(self, machine: Machine, group: str = LIST) -> bool:
+        """Whether one says that it leads a group."""
+        here = (await self.status(machine)).get("groups", {}).get(group, {})
+        return here.get("role") == "leader"
+
+    def by_name(self, name: str) -> Machine:
+        """One of them."""
+        return next(machine for machine in self.all if machine.name == name)
+
+    async def whole(self) -> dict[str, dict[str, object]]:
+        """Wait until every copy of every group is there, on the disk that its machine has now, at its home,
+        and no change is under way; what each group's leader says of it."""
         while True:
-            status = await self.status(await self.leader())
-            if status and await self._is_whole(status):
-                return status
+            statuses = [s for s in await asyncio.gather(*map(self._told, self.all)) if s]
+            newest = max(statuses, key=lambda s: s["epoch"], default={"epoch": 0})
+            if newest["epoch"]:
+                ids = {s["name"]: s["id"] for s in statuses}
+                found = {g: _whole(g, homes, statuses, ids) for g, homes in newest["homes"].items()}
+                if all(found.values()):
+                    return found
             await asyncio.sleep(0.05)
 
-    async def _is_whole(self, status: dict[str, object]) -> bool:
-        members = status["members"]
-        if status["short"] or len(members) != status["copies"]:
-            return False
-        if not all(m["voter"] and m["behind"] in (0, None) for m in members):
-            return False
-        names = {machine.name: machine for machine in self.all}
-        there = await asyncio.gather(*(self.status(names[m["id"].rpartition(".")[0]]) for m in members))
-        return [told.get("id") for told in there] == [m["id"] for m in members]
+    async def _told(self, machine: Machine) -> dict[str, object]:
+        return await self.status(machine) if machine.up() else {}
+
+
+def _whole(
+    group: str, homes: list[str], statuses: list[dict[str, object]], ids: dict[str, str]
+) -> dict[str, object]:
+    """What a group's leader says of it; nothing if a copy is missing or in the wrong place."""
+    for status in statuses:
+        here = status["groups"].get(group)
+        if here is None or here["role"] != "leader":
+            continue
+        members = here["members"]
+        there = sorted(m["id"] for m in members) == sorted(ids.get(home, "") for home in homes)
+        caught = all(m["voter"] and m["behind"] in (0, None) for m in members)
+        if there and caught and not here["short"] and len(homes) >= status["copies"]:
+            return {**here, "leads": status["name"]}
+    return {}
--- a/plumwall/faults/torture.py
+++ b/plumwall/faults/torture.py
@@ -20,6 +20,8 @@
 import numpy as np
 
 from plumwall.faults.machines import HOST, ZONES, Machine, Machines
+from yewstage.holding.kinds import LIST
+from yewstage.holding.places import name_of
 from yewstage.registry.client import Client, Duty, SilentError, Told
 
 PLANS = Path(__file__).parent / "plans"
@@ -38,6 +40,7 @@
     keys: Annotated[int, msgspec.Meta(ge=1, le=1000)]
     gone_ms: float
     zone_every: Count
+    keyed: Annotated[int, msgspec.Meta(ge=0, le=32)]
     faults: dict[str, float]
 
 
@@ -219,7 +222,7 @@
     async def play(self, rounds: list[Round]) -> Outcome:
         """All rounds, or up to the first breach."""
         machines = self._machines
-        await machines.init(machines.all[: self._plan.copies])
+        await machines.init(machines.all, self._plan.keyed)
         await machines.whole()
         self.load.start()
         try:
@@ -243,8 +246,8 @@
         elif turn.fault == "leader_lost":
             hit = [leader]
         elif turn.fault == "member_lost":
-            names = [m["id"].rpartition(".")[0] for m in (await self._machines.whole())["members"]]
-            hit = [m for m in self._machines.all if m.name == names[turn.at % len(names)]]
+            names = sorted(name_of(m["id"]) for m in (await self._machines.whole())[LIST]["members"])
+            hit = [self._machines.by_name(names[turn.at % len(names)])]
         self._say(f"round {turn.number}: {turn.fault} {', '.join(m.name for m in hit)}")
         self.load.longest_s, self.load.last_at = 0.0, time.monotonic()
         began = time.monotonic()
@@ -292,7 +295,7 @@
         has to have heard of it."""
         known = dict(self.load.acknowledged)
         status = await self._machines.whole()
-        names = {member["id"].rpartition(".")[0] for member in status["members"]}
+        names = {name_of(member["id"]) for member in status[LIST]["members"]}
         for machine in self._machines.all:
             if machine.name in names:
                 await self._tells(machine, known)
@@ -318,8 +321,7 @@
                     )
                     if not missing:
                         return
-                    leads = (await self._machines.status(machine)).get("role") == "leader"
-                    if leads:
+                    if await self._machines.leads(machine):
                         raise BreachError(f"{machine.name} leads and has lost {missing}")
                 await asyncio.sleep(0.05)
         finally:
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -17,7 +17,20 @@
 from plumwall.model.scenes import SCENES, A, B, C, beat, elect, led, settle, start
 from yewstage.raft.core import BusyError, NotLeaderError, Replica, Saved, Settings, Write, first_state
 from yewstage.raft.disk import Disk, DiskError, FullError
-from yewstage.raft.messages import DATA, Append, Entry, Install, Member, Snapshot, encode
+from yewstage.raft.messages import (
+    DATA,
+    Append,
+    AppendReply,
+    Entry,
+    Install,
+    InstallReply,
+    Member,
+    PreVoteReply,
+    Snapshot,
+    VoteReply,
+    encode,
+)
+from yewstage.raft.pace import Pace
 
 MEMBERS = tuple(Member(f"n{i}.1", f"n{i}", f"z{i}", "", "") for i in range(3))
 
@@ -327,3 +340,47 @@
 
 def test_every_scene_is_reached_by_the_program_as_it_is() -> None:
     assert all(scene(None).nodes for scene in SCENES.values()) and start(None).nodes
+
+
+def test_copying_keeps_its_pace_in_any_time_and_holds_nobody_else_up() -> None:
+    settings = Settings(batch_bytes=1000)
+    pace = Pace(100_000.0)
+    members = tuple(Member(name, name, "z", "", "") for name in ("a", "b"))
+    saved = first_state(members, b"x" * 40_000)
+    replica = Replica("a", settings, saved, random.Random(1), 0.0, pace)
+    now = replica.next_at()
+    replica.tick(now)
+    replica.durable(now, 99)
+    replica.handle(now, PreVoteReply("b", "a", 2, True))
+    replica.durable(now, 99)
+    replica.handle(now, VoteReply("b", "a", 2, True))
+    replica.durable(now, 99)
+    replica.handle(now, AppendReply("b", "a", 2, True, replica.last, 1, 1))
+    replica.change(now, (*members, Member("c", "c", "z", "", "", voter=False)))
+    replica.handle(now, AppendReply("c", "a", 2, False, 0, replica.last, 1))
+    sent: list[tuple[float, int]] = []
+    have = writes = 0
+    while have < 40_000:
+        replica.durable(now, 10_000)
+        for message in replica.take(now).messages:
+            if isinstance(message, Install) and message.offset == have:
+                sent.append((now, len(message.data)))
+                have += len(message.data)
+                replica.handle(now, InstallReply("c", "a", 2, 1, have, 1))
+            elif isinstance(message, Append) and message.dst == "b":
+                end = message.prev_index + len(message.entries)
+                reply = AppendReply("b", "a", 2, True, end, message.prev_index, message.round, now)
+                replica.handle(now, reply)
+        index = replica.propose(now, b"more")  # a new write is on its way to the others at once
+        told = [m for m in replica.take(now).messages if isinstance(m, Append) and m.dst == "b"]
+        writes += any(m.entries for m in told)
+        replica.durable(now, 10_000)
+        replica.handle(now, AppendReply("b", "a", 2, True, index, index - 1, 1, now))
+        assert replica.commit == index
+        now = max(now + 1, min(replica.next_at(), now + 5))
+        replica.tick(now)
+    assert writes > 50 and pace.copied >= 40_000
+    for begin, _ in sent:
+        for end, _ in sent:
+            moved = sum(size for at, size in sent if begin <= at <= end)
+            assert moved <= 100 * max(end - begin, 0) + settings.batch_bytes or end < begin
--- a/yewstage/holding/__main__.py
+++ b/yewstage/holding/__main__.py
@@ -38,12 +38,12 @@
                 id=folder.id,
             )
         )
-    if node.cut:
+    if node.replicas.cut:
         log.warning(
             Event(
                 "torn_record",
                 "a torn last record of {bytes} bytes was cut off: nobody was told of it",
-                bytes=node.cut,
+                bytes=node.replicas.cut,
             )
         )
     figures = Figures(lambda: [*node.registry.collect(), *node.figures()])
@@ -55,10 +55,12 @@
     log.info(
         Event(
             "restored",
-            "{id}: term {term}, index {index}",
+            "{id}: {groups}",
             id=folder.id,
-            term=node.ledger.group.replica.term,
-            index=node.ledger.group.replica.last,
+            groups=", ".join(
+                f"{group} at term {one.group.replica.term}, index {one.group.replica.last}"
+                for group, one in node.replicas.all.items()
+            ),
         )
     )
     log.info(at("listening", "listening on", address))
--- /dev/null
+++ b/yewstage/holding/calls.py
@@ -0,0 +1,351 @@
+"""What operators and gateways call: how things are, who holds what, keys of requests that must not run
+twice."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+
+import msgspec
+from msgspec import structs
+
+from yewstage.holding.keys import DONE, Keys
+from yewstage.holding.kinds import KEYED, LIST, MOST_KEYED, PLACES, group_of, names
+from yewstage.holding.ledger import Copied
+from yewstage.holding.members import beginner, used_twice
+from yewstage.holding.places import Sight, Table, begin, let_in, moved, name_of, taken_out
+from yewstage.holding.recover import FORMAT as BACKUP_FORMAT
+from yewstage.holding.replicas import Replicas
+from yewstage.net.config import ConfigError
+from yewstage.net.serve import Answer, Call, Caller
+from yewstage.raft.messages import Member, Members
+from yewstage.registry.config import NAME, Fields
+from yewstage.registry.ledger import ElsewhereError, LaterError
+from yewstage.registry.server import failed, misdirected, said
+from yewstage.registry.store import Entry, RefusedError
+
+FORGET_S = 0.2  # spacing of the look for keys whose window is over
+LONGEST_ANSWER = 16 * 1024  # of a keyed request, as base64: what is longer is remembered as done only
+MOST_WINDOW_MS = 3_600_000.0
+
+
+class _Named(msgspec.Struct, forbid_unknown_fields=True):
+    """A member as calls name it."""
+
+    id: str
+    name: str
+    zone: str
+    peer: str
+    call: str
+
+
+class _Init(msgspec.Struct, forbid_unknown_fields=True):
+    members: list[_Named]
+    first: float  # Unix time in ms
+    keyed: int = 4
+
+
+class Calls:
+    """Each call to its part."""
+
+    def __init__(
+        self,
+        replicas: Replicas,
+        loop: asyncio.AbstractEventLoop,
+        spawn: Callable[[Coroutine], None],
+    ) -> None:
+        self._replicas, self._loop, self._spawn = replicas, loop, spawn
+
+    def handle(self, call: Call, caller: Caller) -> Answer | None:
+        """One call; None if it is answered later."""
+        if call.path.startswith("/v1/keys/"):
+            return self._keyed(call, caller)
+        verb = call.path.removeprefix("/v1/holding/")
+        calls = {
+            "status": ("GET", self._status),
+            "init": ("POST", self._init),
+            "move": ("POST", self._move),
+            "add": ("POST", self._add),
+            "remove": ("POST", self._remove),
+            "hand-over": ("POST", self._hand_over),
+            "backup": ("GET", self._backup),
+        }
+        if verb not in calls:
+            return failed(404, "no such path")
+        method, handle = calls[verb]
+        if call.method != method:
+            return failed(405, f"not {call.method}")
+        try:
+            return handle(call, caller)
+        except msgspec.MsgspecError as error:
+            return failed(400, str(error))
+        except ConfigError as error:
+            field, _, why = str(error).partition(": ")
+            return failed(400, why, field)
+
+    # --- How things are -----------------------------------------------------------------------------------
+
+    def _status(self, call: Call, caller: Caller) -> Answer:
+        replicas = self._replicas
+        me, table = replicas.me, replicas.table
+        begun = [group for group in replicas.all if replicas.begun(group)]
+        return said(
+            200,
+            {
+                "cluster": replicas.config.cluster,
+                "id": me.id,
+                "name": me.name,
+                "zone": me.zone,
+                "peer": me.peer,
+                "call": me.call,
+                "copies": replicas.config.copies,
+                "begun": bool(begun),
+                "epoch": table.epoch,
+                "homes": {p.group: list(p.homes) for p in table.placed},
+                "out": list(table.out),
+                "usedTwice": used_twice(replicas.present()),
+                "present": sorted(m.name for m in replicas.present()),
+                "copiedBytes": replicas.pace.copied,
+                "diskBytes": sum(ledger.disk.bytes() for ledger in replicas.all.values()),
+                "groups": {group: self._group(group) for group in begun},
+            },
+        )
+
+    def _group(self, group: str) -> dict[str, object]:
+        replicas, ledger = self._replicas, self._replicas.all[group]
+        replica, leads = ledger.group.replica, ledger.group.leads()
+        now, age = replicas.now(), ledger.age_ms()
+        rows = []
+        for member in replica.members:
+            peer = replica.peers.get(member.id) if leads else None
+            heard = round(now - peer.heard_at) if peer is not None and peer.heard_at > 0 else None
+            rows.append(
+                {
+                    "id": member.id,
+                    "zone": member.zone,
+                    "voter": member.voter,
+                    "call": member.call,
+                    "behind": replica.last - peer.match if peer is not None else None,
+                    "heardMsAgo": heard,
+                }
+            )
+        learner = replicas.me.id not in replica.voters()
+        return {
+            "role": "leader" if leads else "learner" if learner else "follower",
+            "term": replica.term,
+            "leader": replica.leader,
+            "commit": replica.commit,
+            "applied": ledger.group.applied,
+            "short": replicas.short(group),
+            "ageMs": round(age) if age < 1e9 else None,
+            "members": rows,
+            "diskBytes": ledger.disk.bytes(),
+            "full": ledger.broken,
+        }
+
+    # --- A cluster's beginning ----------------------------------------------------------------------------
+
+    def _init(self, call: Call, caller: Caller) -> Answer | None:
+        """Begin a cluster on these processes. One of them does it, so that two operators at once cannot
+        begin two. Where a list is held already, as by earlier versions, it is taken in."""
+        told = msgspec.json.decode(call.body, type=_Init)
+        members: Members = tuple(Member(*structs.astuple(m)) for m in told.members)
+        replicas, copies = self._replicas, self._replicas.config.copies
+        if not 0 <= told.keyed <= MOST_KEYED:
+            return failed(400, f"must be from 0 to {MOST_KEYED}", "keyed")
+        if len({m.name for m in members}) < len(members) or len({m.id for m in members}) < len(members):
+            return failed(400, "a name or an id stands twice", "members")
+        if not members or beginner(members, PLACES, copies).id != replicas.me.id:
+            return failed(409, "another member begins: the least id of those that hold places", "members")
+        if replicas.begun(PLACES):
+            return failed(409, "this process holds something already")
+        kept = {}
+        listed = replicas.heard.reports.get(LIST)
+        if replicas.begun(LIST):
+            kept[LIST] = tuple(m.name for m in replicas.all[LIST].group.replica.members)
+        elif listed is not None:
+            kept[LIST] = tuple(name_of(member) for member, _ in listed[0].members)
+        table = begin(names(told.keyed), members, copies, told.first, kept)
+        self._spawn(self._begin(table, caller))
+        return None
+
+    async def _begin(self, table: Table, caller: Caller) -> None:
+        await self._replicas.begin_cluster(table)
+        caller.answer(said(200, {"groups": len(table.placed)}))
+
+    # --- Places -------------------------------------------------------------------------------------------
+
+    def _move(self, call: Call, caller: Caller) -> None:
+        """A copy of a group from one machine to another."""
+        fields = Fields(msgspec.json.decode(call.body, type=dict[str, object]))
+        group, old, new = fields.name("group"), fields.name("from"), fields.name("to")
+        fields.done()
+        self._spawn(self._placed(caller, lambda sight: moved(sight, group, old, new)))
+
+    def _add(self, call: Call, caller: Caller) -> None:
+        """A machine is to hold its part."""
+        name = self._machine(call)
+        self._spawn(self._placed(caller, lambda sight: let_in(sight, name)))
+
+    def _remove(self, call: Call, caller: Caller) -> None:
+        """A machine is to hold nothing."""
+        name = self._machine(call)
+        self._spawn(self._placed(caller, lambda sight: taken_out(sight, name)))
+
+    @staticmethod
+    def _machine(call: Call) -> str:
+        fields = Fields(msgspec.json.decode(call.body, type=dict[str, object]))
+        name = fields.name("name")
+        fields.done()
+        return name
+
+    async def _placed(self, caller: Caller, next_table: Callable[[Sight], Table]) -> None:
+        replicas = self._replicas
+
+        async def change() -> dict[str, object]:
+            await replicas.all[PLACES].confirm()
+            table = next_table(replicas.sight())
+            await replicas.all[PLACES].write(lambda store, now: store.plan(table))
+            return {"epoch": table.epoch, "homes": {p.group: list(p.homes) for p in table.placed}}
+
+        caller.answer(await self._answered(change))
+
+    async def _answered(self, work: Callable[[], Coroutine[object, object, dict[str, object]]]) -> Answer:
+        """What came of a write, as callers are told it."""
+        try:
+            return said(200, await work())
+        except RefusedError as error:
+            return failed(error.status, error.why, error.field)
+        except ElsewhereError as error:
+            return misdirected(error) if error.at else failed(503, str(error))
+        except LaterError as error:
+            return failed(503, str(error))
+
+    def _hand_over(self, call: Call, caller: Caller) -> Answer:
+        """Let another replica lead: of one group, or of all that are led here."""
+        body = msgspec.json.decode(call.body or b"{}", type=dict[str, str])
+        group = body.get("group", "")
+        if group and group not in self._replicas.led():
+            at = self._replicas.leader_of(group)
+            return misdirected(ElsewhereError(at)) if at else failed(503, "no leader is known")
+        chosen = [group] if group else self._replicas.led()
+        return said(200, {"handed": [g for g in chosen if self._replicas.all[g].hand_over()]})
+
+    def _backup(self, call: Call, caller: Caller) -> Answer | None:
+        """All that a group holds, as of now or later."""
+        group = call.query.get("group", LIST)
+        if group not in self._replicas.all:
+            at = self._replicas.leader_of(group)
+            return misdirected(ElsewhereError(at)) if at else failed(404, f"no group {group}", "group")
+        ledger = self._replicas.all[group]
+
+        async def read() -> dict[str, object]:
+            await ledger.confirm()
+            return {
+                "format": BACKUP_FORMAT,
+                "cluster": self._replicas.config.cluster,
+                "group": group,
+                "index": ledger.group.applied,
+                "state": ledger.store.snapshot(),
+            }
+
+        self._spawn(self._told(caller, read))
+        return None
+
+    async def _told(self, caller: Caller, work: Callable[[], Coroutine]) -> None:
+        caller.answer(await self._answered(work))
+
+    # --- Keys ---------------------------------------------------------------------------------------------
+
+    def keys(self) -> int:
+        """Records that are kept here."""
+        stores = [ledger.store for ledger in self._replicas.all.values()]
+        return sum(len(store.records) for store in stores if isinstance(store, Keys))
+
+    def _keyed(self, call: Call, caller: Caller) -> Answer | None:
+        key, _, verb = call.path.removeprefix("/v1/keys/").partition("/")
+        keyed = sum(p.group.startswith(KEYED) for p in self._replicas.table.placed)
+        if call.method != "POST" or verb not in ("claim", "done", "release"):
+            return failed(405 if verb in ("claim", "done", "release") else 404, "no such call")
+        if not NAME.fullmatch(key):
+            return failed(400, "must be 1 to 64 letters, digits, dots, colons, dashes and underlines", "key")
+        if not keyed:
+            return failed(503, "no places for keys are known here")
+        group = group_of(key, keyed)
+        ledger = self._replicas.all.get(group)
+        if ledger is None or not ledger.group.leads():
+            at = ledger.leader() if ledger is not None else self._replicas.leader_of(group)
+            return misdirected(ElsewhereError(at)) if at else failed(503, "no leader is known")
+        try:
+            fields = Fields(msgspec.json.decode(call.body, type=dict[str, object]))
+            by = fields.text("by", 128)
+            work = {"claim": self._claim, "done": self._done, "release": self._release}[verb](
+                ledger, key, by, fields
+            )
+        except msgspec.MsgspecError as error:
+            return failed(400, str(error), "body")
+        except ConfigError as error:
+            field, _, why = str(error).partition(": ")
+            return failed(400, why, field)
+        self._spawn(self._told(caller, work))
+        return None
+
+    def _claim(self, ledger: Copied, key: str, by: str, fields: Fields) -> Callable[[], Coroutine]:
+        window_ms = fields.number("windowMs", None, 1.0, MOST_WINDOW_MS)
+        fields.done()
+        told: dict[str, object] = {}
+
+        def plan(store: Keys, now: float) -> Entry | None:
+            told.clear()
+            known = store.records.get(key)
+            try:
+                return store.plan_claim(key, by, window_ms)
+            except RefusedError as error:
+                if error.status != 409:
+                    raise
+                told.update(state=known.state)
+                if known.state == DONE:
+                    told.update(status=known.status, answer=known.answer)
+                return None
+
+        async def claim() -> dict[str, object]:
+            await ledger.write(plan)  # a refusal, too, rests on what a majority has
+            return told or {"state": "yours"}
+
+        return claim
+
+    def _done(self, ledger: Copied, key: str, by: str, fields: Fields) -> Callable[[], Coroutine]:
+        status = fields.whole("status", None, 100, 599)
+        answer = fields.text("answer", LONGEST_ANSWER) if fields.has("answer") else ""
+        fields.done()
+
+        async def done() -> dict[str, object]:
+            await ledger.write(lambda store, now: store.plan_done(key, by, status, answer))
+            return {"state": DONE}
+
+        return done
+
+    def _release(self, ledger: Copied, key: str, by: str, fields: Fields) -> Callable[[], Coroutine]:
+        fields.done()
+
+        async def release() -> dict[str, object]:
+            await ledger.write(lambda store, now: store.plan_release(key, by))
+            return {"state": "free"}
+
+        return release
+
+    async def forget(self) -> None:
+        """As long as groups of keys are led here, let go what is past its window."""
+        while True:
+            await asyncio.sleep(FORGET_S)
+            for group, ledger in list(self._replicas.all.items()):
+                store = ledger.live()
+                if not group.startswith(KEYED) or store is None:
+                    continue
+                try:
+                    while store.plan_forget(self._replicas.now()) and await ledger.write(
+                        lambda store, now: store.plan_forget(now)
+                    ):
+                        pass
+                except (ElsewhereError, LaterError):
+                    continue  # another one leads
--- a/yewstage/holding/config.py
+++ b/yewstage/holding/config.py
@@ -21,6 +21,7 @@
     peers: Mapping[str, Address]  # the others by name, as they are reached from here
     copies: int  # voters that are wanted, and kept
     gone_ms: float  # silence after which a member is replaced, where there is somebody to do it
+    copy_bytes_per_s: float  # to copies that are being made, over all groups of this process
     settings: Settings
     service: Config
 
@@ -37,6 +38,7 @@
         peers=_peers(raw.get("peers")),
         copies=fields.whole("copies", 3, 1, 7),
         gone_ms=fields.number("gone_ms", 30_000.0, 100.0),
+        copy_bytes_per_s=fields.number("copy_bytes_per_s", 16e6, 1000.0),
         settings=Settings(
             heartbeat_ms=fields.number("heartbeat_ms", known.heartbeat_ms, 1.0),
             election_ms=fields.number("election_ms", known.election_ms, 10.0),
--- a/yewstage/holding/group.py
+++ b/yewstage/holding/group.py
@@ -11,19 +11,38 @@
 
 import random
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import msgspec
 
 from yewstage.raft.core import LEADER, NotLeaderError, Output, Replica, Saved, Settings, Write
-from yewstage.raft.messages import DATA, AnyMessage, Member
-from yewstage.registry.store import Plan, RefusedError, Rules, Store
+from yewstage.raft.messages import DATA, AnyMessage
+from yewstage.raft.pace import Pace
+from yewstage.registry.store import Entry, RefusedError, Rules, Store
 
-GROUP = "list"  # the one group that there is
 encode_entry = msgspec.msgpack.Encoder().encode
 decode_entry = msgspec.msgpack.Decoder(dict[str, object]).decode
 
 
+class Kept(Protocol):
+    """A store that consensus keeps the same: entries in, nothing else."""
+
+    def apply(self, entry: Entry, now: float) -> None:
+        """Bring an entry about, now that it is durable."""
+
+    def snapshot(self) -> Entry:
+        """All that entries have brought about."""
+
+    @classmethod
+    def restored(cls, rules: Rules, state: Entry, now: float) -> Kept:
+        """A store from a snapshot; all that ends with time has its whole time."""
+
+
+Planned = Callable[[Kept, float], Entry | None]  # against which store, at what time on its clock
+
+
 class UnsureError(Exception):
     """Leadership was lost under a write: whether it comes about is not known here. It may be repeated."""
 
@@ -69,11 +88,13 @@
         rng: random.Random,
         now: float,
         replica: type[Replica] = Replica,
+        store: type[Kept] = Store,
+        pace: Pace | None = None,
     ) -> None:
-        self.rules = rules
-        self.replica = replica(me, settings, saved, rng, now)
-        self.store = Store(rules)
-        self.planned: Store | None = None  # as it will be; only while we lead
+        self.rules, self._kind = rules, store
+        self.replica = replica(me, settings, saved, rng, now, pace)
+        self.store: Kept = store(rules)
+        self.planned: Kept | None = None  # as it will be; only while we lead
         self._planned_term = 0  # in which: what was planned in an earlier one may have been replaced
         self.applied = 0
         self.applied_since = 0  # entries since the last snapshot
@@ -83,7 +104,7 @@
 
     # --- What is asked ------------------------------------------------------------------------------------
 
-    def write(self, now: float, plan: Plan) -> int:
+    def write(self, now: float, plan: Planned) -> int:
         """Begin a write; the ticket under which its result comes.
 
         What it would change, or why it is refused, is planned at once. A refusal, too, is answered only when
@@ -115,7 +136,7 @@
         self.replica.read(now, self._tickets)
         return self._tickets
 
-    def _leading(self, now: float) -> Store:
+    def _leading(self, now: float) -> Kept:
         """The store to plan against; NotLeaderError where another leads."""
         self.replica.tick(now)
         if not self.leads():
@@ -128,10 +149,6 @@
         return self.planned is not None and self.replica.leading() \
             and self._planned_term == self.replica.term
 
-    def leader(self) -> Member | None:
-        """The leader as it is known here."""
-        return self.replica.member(self.replica.leader) if self.replica.leader else None
-
     # --- What comes in ------------------------------------------------------------------------------------
 
     def handle(self, now: float, message: AnyMessage) -> None:
@@ -164,7 +181,7 @@
         return result
 
     def _install(self, out: Output, result: Result, now: float) -> None:
-        self.store = Store.restored(self.rules, decode_entry(out.install.data), now)
+        self.store = self._kind.restored(self.rules, decode_entry(out.install.data), now)
         self.applied, self.applied_since = out.install.index, 0
         result.changed = True
 
@@ -194,7 +211,7 @@
             self._writes.clear()
             self._confirms.clear()
         if self.replica.leading():
-            self.planned = Store.restored(self.rules, self.store.snapshot(), now)
+            self.planned = self._kind.restored(self.rules, self.store.snapshot(), now)
             self._planned_term = self.replica.term
 
     # --- Snapshots ----------------------------------------------------------------------------------------
--- /dev/null
+++ b/yewstage/holding/keys.py
@@ -0,0 +1,102 @@
+"""The record of requests whose effect must not happen twice. Pure.
+
+A claim is made before a request is sent on, and made once: whoever asks again under the same key, through
+whichever gateway, is told what is known of it, and sends nothing. A claim that ended is kept with its answer;
+one whose end nobody told (its gateway is lost) stays open. Both are forgotten a window after they last
+changed, by the leader's own clock; a new leader gives each its whole window anew. So nothing is forgotten
+early, and no clock of another machine is asked.
+"""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass
+
+from yewstage.registry.store import Entry, RefusedError, Rules
+
+BEGUN, DONE = "begun", "done"
+MOST = 100_000  # records of one group; past that new claims are refused
+BATCH = 500  # forgotten by one entry
+
+
+@dataclass(slots=True, frozen=True)
+class Keyed:
+    """What is known of a key."""
+
+    by: str  # the request that holds it: unique to one request in one life of one gateway
+    window_ms: float
+    state: str = BEGUN
+    status: int = 0
+    answer: str = ""  # base64
+
+
+class Keys:
+    """The store of a group that holds keys."""
+
+    def __init__(self, rules: Rules | None = None) -> None:
+        self.records: dict[str, Keyed] = {}
+        self._ends: dict[str, float] = {}  # when each may be forgotten
+
+    def plan_claim(self, key: str, by: str, window_ms: float) -> Entry | None:
+        """Claim a key; None where this request holds it already, since its answer was lost.
+
+        RefusedError 409 where another one has it: look at `records`.
+        """
+        known = self.records.get(key)
+        if known is not None and (known.by != by or known.state == DONE):
+            raise RefusedError(409, "is done" if known.state == DONE else "is under way, or its end was lost")
+        if known is not None:
+            return None
+        if len(self.records) >= MOST:
+            raise RefusedError(503, f"{MOST} keys are held already")
+        return {"op": "put", "key": key, "record": asdict(Keyed(by, window_ms))}
+
+    def plan_done(self, key: str, by: str, status: int, answer: str) -> Entry | None:
+        """How it ended; None if that is known."""
+        known = self._held(key, by)
+        if known.state == DONE:
+            return None
+        return {"op": "put", "key": key, "record": asdict(Keyed(by, known.window_ms, DONE, status, answer))}
+
+    def plan_release(self, key: str, by: str) -> Entry | None:
+        """It was never sent on, or is sure not to have run: the key is free again."""
+        known = self.records.get(key)
+        if known is None or known.by != by:
+            return None
+        if known.state == DONE:
+            raise RefusedError(409, "is done")
+        return {"op": "forget", "keys": [key]}
+
+    def plan_forget(self, now: float) -> Entry | None:
+        """Let go what is past its window."""
+        late = [key for key, end in self._ends.items() if end <= now][:BATCH]
+        return {"op": "forget", "keys": late} if late else None
+
+    def _held(self, key: str, by: str) -> Keyed:
+        known = self.records.get(key)
+        if known is None or known.by != by:
+            raise RefusedError(409, "is not held by this request")
+        return known
+
+    def apply(self, entry: Entry, now: float) -> None:
+        """Bring an entry about."""
+        if entry["op"] == "forget":
+            for key in entry["keys"]:
+                self.records.pop(key, None)
+                self._ends.pop(key, None)
+            return
+        key, record = entry["key"], Keyed(**entry["record"])
+        self.records[key] = record
+        self._ends[key] = now + record.window_ms
+
+    def snapshot(self) -> Entry:
+        """All of it."""
+        return {"keys": {key: asdict(record) for key, record in self.records.items()}}
+
+    @classmethod
+    def restored(cls, rules: Rules, state: Entry, now: float) -> Keys:
+        """The store as it was, each record with its whole window."""
+        store = cls(rules)
+        for key, raw in state["keys"].items():
+            store.records[key] = Keyed(**raw)
+            store._ends[key] = now + store.records[key].window_ms
+        return store
--- a/yewstage/holding/ledger.py
+++ b/yewstage/holding/ledger.py
@@ -8,13 +8,13 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
-from yewstage.holding.group import Group, UnsureError
+from yewstage.holding.group import Group, Kept, Planned, UnsureError
 from yewstage.log import Event
 from yewstage.raft.core import BusyError, NotLeaderError, Write
 from yewstage.raft.disk import Disk, FullError
 from yewstage.raft.messages import AnyMessage, Members
 from yewstage.registry.ledger import ElsewhereError, LaterError
-from yewstage.registry.store import Entry, Plan, Store
+from yewstage.registry.store import Entry
 
 log = logging.getLogger(__name__)
 
@@ -22,7 +22,8 @@
 
 
 class Copied:
-    """The list service's ledger, replicated. `failed` is told when the disk can't be trusted any more."""
+    """One group's ledger, replicated. `failed` is told when the disk can't be trusted any more; `elsewhere`
+    knows where the leader is called, as others say."""
 
     def __init__(
         self,
@@ -32,9 +33,10 @@
         loop: asyncio.AbstractEventLoop,
         send: Callable[[AnyMessage], None],
         failed: Callable[[str], None],
+        elsewhere: Callable[[], str],
     ) -> None:
         self.group, self.disk, self._most, self._loop = group, disk, snapshot_entries, loop
-        self._send, self._failed = send, failed
+        self._send, self._failed, self._elsewhere = send, failed, elsewhere
         self.changed: Callable[[], None] = lambda: None
         self._pool = ThreadPoolExecutor(1, "disk")
         self._queue: list[Write] = []
@@ -49,7 +51,7 @@
     # The service's side
 
     @property
-    def store(self) -> Store:
+    def store(self) -> Kept:
         return self.group.store
 
     @property
@@ -63,21 +65,28 @@
     def now(self) -> float:
         return self._loop.time() * 1000
 
-    def live(self) -> Store | None:
+    def live(self) -> Kept | None:
         return self.group.planned if self.group.leads() else None
 
     def leader(self) -> str:
-        member = self.group.leader()
-        return member.call if member is not None and not self.group.leads() else ""
+        return "" if self.group.leads() else self._call_of(self.group.replica.leader)
+
+    def _call_of(self, leader: str) -> str:
+        """Where a leader is called. Who is a member knows by consensus; others by what is said."""
+        replica = self.group.replica
+        member = replica.member(leader)
+        if member is not None:
+            return member.call
+        return "" if replica.member(replica.me) is not None else self._elsewhere()
 
     def age_ms(self) -> float:
         return self.group.replica.age_ms(self.now())
 
-    async def write(self, plan: Plan) -> bool:
+    async def write(self, plan: Planned) -> bool:
         """Planned here if we lead; done once a majority has it."""
         made: list[Entry] = []
 
-        def noted(store: Store, now: float) -> Entry | None:
+        def noted(store: Kept, now: float) -> Entry | None:
             entry = plan(store, now)
             made.extend([entry] if entry is not None else [])
             return entry
@@ -94,8 +103,7 @@
             ticket = begin()
         except NotLeaderError as error:
             self.soon()
-            member = self.group.replica.member(error.leader)
-            raise ElsewhereError(member.call if member is not None else "") from None
+            raise ElsewhereError(self._call_of(error.leader)) from None
         except BusyError as error:
             raise LaterError(str(error)) from None
         future = self._waiting[ticket] = self._loop.create_future()
--- a/yewstage/holding/link.py
+++ b/yewstage/holding/link.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from yewstage.holding.places import Report, Table
 from yewstage.log import Event
 from yewstage.net.config import Address
 from yewstage.raft.messages import AnyMessage, Member
@@ -30,11 +31,13 @@
 
 
 class Hello(msgspec.Struct, array_like=True, tag=1):
-    """Who sends."""
+    """Who sends; which groups it leads, and the newest table that it knows."""
 
     version: int
     cluster: str
     member: Member
+    leads: tuple[Report, ...] = ()
+    table: Table = Table()
 
 
 class Said(msgspec.Struct, array_like=True, tag=2):
@@ -73,6 +76,11 @@
         self.sent += 1
         transport.write(data)
 
+    def greet(self) -> None:
+        """Say at once what is said each second: something has changed."""
+        if self._transport is not None:
+            self.send(self._hello())
+
     async def run(self) -> None:
         """Keep the link up until cancelled."""
         loop = asyncio.get_running_loop()
@@ -121,7 +129,7 @@
     def __init__(
         self,
         cluster: str,
-        heard: Callable[[Member], None],
+        heard: Callable[[Hello], None],
         said: Callable[[Said], None],
         refused: Callable[[str], None],
     ) -> None:
@@ -163,7 +171,7 @@
                 )
                 return False
             self._from = value.member.id
-            self._heard(value.member)
+            self._heard(value)
         elif value.message.src != self._from:
             self._refuse("a message in another's name")
             return False
--- a/yewstage/holding/members.py
+++ b/yewstage/holding/members.py
@@ -1,65 +1,88 @@
-"""Which member is to be changed next: lost copies are replaced, one at a time. Pure."""
+"""Which member of a group is to be changed next, so that copies come to be where they are wanted. Pure."""
 
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-import xxhash
 from msgspec import structs
 
+from yewstage.holding.places import ideal
 from yewstage.raft.messages import Member, Members
 
 
 @dataclass(slots=True, frozen=True)
 class View:
-    """What a leader sees."""
+    """What a group's leader sees."""
 
     me: str
-    group: str
     members: Members
+    homes: tuple[str, ...]  # names of the machines that are to hold it; empty: not known
     silent_ms: Mapping[str, float]  # of members, by id: since we last heard of it
     present: tuple[Member, ...]  # processes that say now that they are there, members or not
     caught_up: frozenset[str]  # ids of those who have all but what is under way
-    copies: int
-    gone_ms: float
     fresh_ms: float  # silence after which a process is not there, though it may come back
+    may_copy: bool = True  # whether a copy may be begun now
 
 
 def next_change(view: View) -> Members | None:
     """The members after the next change; None: nothing is to be changed.
 
-    A learner is let in first and made a voter once it has all; only then the lost one goes, so that there
+    A learner is let in first and made a voter once it has all; only then another one goes, so that there
     are never fewer copies than before. While one is being let in nothing else is changed; if it is lost
-    itself it goes again.
+    itself, or wanted no more, it goes again.
     """
     for learner in (m for m in view.members if not m.voter):
-        if _silent(view, learner) > view.fresh_ms:
+        wanted = learner.name in view.homes and not _reborn(view, learner)
+        if not wanted or _silent(view, learner) > view.fresh_ms:
             return _without(view, learner)
         if learner.id in view.caught_up:
             return tuple(structs.replace(m, voter=True) if m.id == learner.id else m for m in view.members)
         return None
-    voters = [m for m in view.members if m.voter]
-    lost = [m for m in voters if m.id != view.me and _is_lost(view, m)]
-    if lost and len(voters) > view.copies:
-        return _without(view, max(lost, key=lambda m: _silent(view, m)))
-    if lost or len(voters) < view.copies:
-        chosen = _candidate(view, [m for m in voters if m not in lost], lost)
-        if chosen is not None:
-            return *view.members, structs.replace(chosen, voter=False)
+    if not view.homes:
+        return None
+    leaving = [m for m in view.members if _leaves(view, m)]
+    if leaving and len(view.members) > len(view.homes):
+        return _without(view, max(leaving, key=lambda m: (m.id != view.me, _silent(view, m))))
+    stay = {m.name for m in view.members if m not in leaving}
+    twice = used_twice(view.present)
+    coming = [
+        m for m in view.present if m.name in view.homes and m.name not in stay and m.name not in twice
+    ]
+    if coming and view.may_copy:
+        chosen = min(coming, key=lambda m: view.homes.index(m.name))
+        return *view.members, structs.replace(chosen, voter=False)
     return None
 
 
-def to_begin(statuses: list[dict[str, object]]) -> tuple[int, list[dict[str, object]]]:
-    """By what processes say of themselves: which one begins a group of all, and the members it is told."""
+def lost(view: View, gone_ms: float) -> tuple[str, ...]:
+    """Ids of members that are silent for too long, or whose machine is there with another disk, so that they
+    never come back."""
+    return tuple(
+        m.id
+        for m in view.members
+        if m.id != view.me
+        and _silent(view, m) > (min(view.fresh_ms, gone_ms) if _reborn(view, m) else gone_ms)
+    )
+
+
+def to_begin(statuses: list[dict[str, object]], group: str) -> tuple[int, list[dict[str, object]]]:
+    """By what processes say of themselves: which one begins, and the members it is told."""
     members = [{key: told[key] for key in ("id", "name", "zone", "peer", "call")} for told in statuses]
-    return min(range(len(members)), key=lambda i: members[i]["id"]), members
+    first = beginner(tuple(Member(**m) for m in members), group, int(statuses[0]["copies"]))
+    return next(i for i, m in enumerate(members) if m["id"] == first.id), members
+
+
+def beginner(members: Members, group: str, copies: int) -> Member:
+    """Who begins a group, so that two operators at once cannot begin two: the least id of its homes."""
+    homes = ideal(group, members, copies)
+    return min((m for m in members if m.name in homes), key=lambda m: m.id)
 
 
-def used_twice(view: View) -> list[str]:
+def used_twice(present: Iterable[Member]) -> list[str]:
     """Names under which two processes are there at once: neither is let in by that name."""
-    count = Counter(m.name for m in view.present)
+    count = Counter(m.name for m in present)
     return sorted(name for name, times in count.items() if times > 1)
 
 
@@ -67,29 +90,17 @@
     return view.silent_ms.get(member.id, 0.0)
 
 
-def _is_lost(view: View, member: Member) -> bool:
-    """Silent for too long; or its machine is there with another disk, so that this one never comes back."""
-    reborn = any(m.name == member.name and m.id != member.id for m in view.present)
-    return _silent(view, member) > (view.fresh_ms if reborn else view.gone_ms)
+def _reborn(view: View, member: Member) -> bool:
+    """Whether the machine is there with another disk."""
+    return any(m.name == member.name and m.id != member.id for m in view.present)
 
 
-def _without(view: View, member: Member) -> Members:
-    return tuple(m for m in view.members if m.id != member.id)
+def _leaves(view: View, member: Member) -> bool:
+    """Whether a voter is to go, once another one has come in its place."""
+    if member.name not in view.homes:
+        return True
+    return member.id != view.me and _reborn(view, member) and _silent(view, member) > view.fresh_ms
 
 
-def _candidate(view: View, kept: list[Member], lost: list[Member]) -> Member | None:
-    """Who takes a lost copy's place: in the zone with the fewest copies left, the machine itself where it
-    has come back, else the highest by rendezvous hashing."""
-    known, twice = {m.id for m in view.members}, used_twice(view)
-    taken, zones = {m.name for m in kept}, Counter(m.zone for m in kept)
-    names = {m.name for m in lost}
-    free = [m for m in view.present if m.id not in known and m.name not in taken and m.name not in twice]
-    return min(
-        free,
-        key=lambda m: (
-            zones[m.zone],
-            m.name not in names,
-            xxhash.xxh64_intdigest(f"{view.group} {m.name}".encode()),
-        ),
-        default=None,
-    )
+def _without(view: View, member: Member) -> Members:
+    return tuple(m for m in view.members if m.id != member.id)
--- /dev/null
+++ b/yewstage/holding/replicas.py
@@ -0,0 +1,325 @@
+"""The replicas of one process: opened as needed, begun once, brought to where the table wants them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from yewstage.holding.config import HoldingConfig
+from yewstage.holding.group import Group, encode_entry, first_data
+from yewstage.holding.identity import Folder
+from yewstage.holding.kinds import LIST, NAME, PLACES, store_of
+from yewstage.holding.ledger import Copied
+from yewstage.holding.members import View, lost, next_change
+from yewstage.holding.places import AT_ONCE, Placed, Places, Report, Sight, Table, next_table
+from yewstage.log import Event
+from yewstage.raft.core import BusyError, NotLeaderError, Saved, Write, first_state
+from yewstage.raft.disk import Disk
+from yewstage.raft.messages import AnyMessage, Member, Members
+from yewstage.raft.pace import Pace
+from yewstage.registry.ledger import ElsewhereError, LaterError
+from yewstage.registry.store import RefusedError
+
+log = logging.getLogger(__name__)
+
+FRESH_MS = 4000.0  # a process that was heard of within this is there: four of its signs of life
+FORGET_MS = 60_000.0
+
+
+@dataclass(slots=True)
+class Heard:
+    """What others say of themselves, and when each last did, ms."""
+
+    present: dict[str, tuple[Member, float]]  # by id
+    reports: dict[str, tuple[Report, Member, float]]  # by group: its leader's
+
+
+class Replicas:
+    """All of them. Groups and their disks are made here; what they say goes out by `send`."""
+
+    def __init__(
+        self,
+        config: HoldingConfig,
+        folder: Folder,
+        loop: asyncio.AbstractEventLoop,
+        rng: random.Random,
+        send: Callable[[str, AnyMessage], None],
+        failed: Callable[[str], None],
+        changed: Callable[[], None],
+    ) -> None:
+        self.config, self._folder, self._loop, self._rng = config, folder, loop, rng
+        self._send, self._failed, self._changed = send, failed, changed
+        self.me = Member(folder.id, config.name, config.zone, "", "")
+        self.pace = Pace(config.copy_bytes_per_s)
+        self.all: dict[str, Copied] = {}
+        self.table = Table()
+        self.heard = Heard({}, {})
+        self.cut = self.changes = 0
+        self._leads_since: dict[str, float] = {}
+        self._beginning: set[str] = set()
+        self._tasks: set[asyncio.Task] = set()
+        for group in (PLACES, LIST):
+            self.open(group)
+        for path in sorted(folder.path.iterdir()):
+            if NAME.fullmatch(path.name) and path.is_dir():
+                self.open(path.name)
+
+    # --- Which there are ----------------------------------------------------------------------------------
+
+    def open(self, group: str) -> Copied:
+        """The replica of a group, from its folder; an empty one where there is nothing yet."""
+        if group in self.all:
+            return self.all[group]
+        disk = Disk(self._folder.path / group)
+        saved = disk.load()
+        self.cut += disk.cut
+        ledger = self.all[group] = Copied(
+            self._group(group, saved),
+            disk,
+            self.config.service.snapshot_entries,
+            self._loop,
+            lambda message: self._send(group, message),
+            self._failed,
+            lambda: self.leader_of(group),
+        )
+        return ledger
+
+    def _group(self, group: str, saved: Saved) -> Group:
+        config = self.config
+        return Group(
+            self.me.id,
+            config.settings,
+            config.service.rules,
+            saved,
+            self._rng,
+            self.now(),
+            store=store_of(group),
+            pace=self.pace,
+        )
+
+    def start(self) -> None:
+        """Begin to keep time."""
+        for ledger in self.all.values():
+            ledger.start()
+
+    def now(self) -> float:
+        """The time of all replicas here, ms."""
+        return self._loop.time() * 1000
+
+    def said(self, group: str, message: AnyMessage) -> None:
+        """A message of a group; the first one makes a replica that is empty, and counts for nothing yet."""
+        if group not in self.all:
+            if not NAME.fullmatch(group):
+                return
+            self.open(group).start()
+        self.all[group].handle(message)
+
+    def begun(self, group: str) -> bool:
+        """Whether this disk has ever held something of a group."""
+        replica = self.all[group].group.replica
+        return bool(replica.snapshot.index or replica.last)
+
+    # --- What others say ----------------------------------------------------------------------------------
+
+    def hear(self, member: Member, leads: tuple[Report, ...], table: Table) -> None:
+        """What a process says of itself."""
+        now, heard = self.now(), self.heard
+        if member.id not in heard.present:  # disks that are long gone are forgotten
+            heard.present = {k: told for k, told in heard.present.items() if now - told[1] < FORGET_MS}
+        heard.present[member.id] = member, now
+        for report in leads:
+            known = heard.reports.get(report.group)
+            if known is None or known[0].term <= report.term:
+                heard.reports[report.group] = report, member, now
+        self.know(table)
+
+    def know(self, table: Table) -> None:
+        """The newest table counts; where this disk is named, the group is begun here, if it never was."""
+        if table.epoch > self.table.epoch:
+            self.table = table
+            self._changed()
+        for placed in self.table.placed:
+            if placed.group != PLACES and any(m.id == self.me.id for m in placed.members):
+                self._begin_placed(placed)
+
+    def _begin_placed(self, placed: Placed) -> None:
+        """All who are named begin with the same, so that it does not matter who does so first or late: it is
+        what each would have been told."""
+        group = placed.group
+        fresh = group not in self.all
+        ledger = self.open(group)
+        if self.begun(group) or group in self._beginning:
+            return
+        if fresh:
+            ledger.start()
+        task = self._loop.create_task(self.begin(group, placed.members, self._first(placed)))
+        self._tasks.add(task)
+        task.add_done_callback(self._begun)
+
+    def _begun(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._failed(f"a group could not be begun: {task.exception()!r}")
+
+    def _first(self, placed: Placed) -> bytes:
+        if placed.group == LIST:
+            return first_data(self.config.service.rules, placed.first)
+        return encode_entry(store_of(placed.group)(self.config.service.rules).snapshot())
+
+    async def begin(self, group: str, members: Members, data: bytes) -> None:
+        """Begin a group on this disk, which holds nothing of it."""
+        self._beginning.add(group)
+        try:
+            saved = first_state(members, data)
+            replica = self.all[group].group.replica
+            if replica.term > saved.term:
+                saved.term, saved.vote = replica.term, replica.vote
+            write = Write(1, (saved.term, saved.vote), (), saved.snapshot, True)
+            await self.all[group].begin(write, lambda: self._group(group, saved))
+        finally:
+            self._beginning.discard(group)
+
+    async def begin_cluster(self, table: Table) -> None:
+        """Begin the group that agrees on places; the others follow from what it says."""
+        await self.begin(PLACES, table.of(PLACES).members, encode_entry(Places(table=table).snapshot()))
+        self.know(table)
+
+    def present(self) -> tuple[Member, ...]:
+        """Processes that are there, this one too."""
+        now = self.now()
+        return self.me, *(
+            m for m, at in self.heard.present.values() if now - at <= FRESH_MS and m.id != self.me.id
+        )
+
+    def leader_of(self, group: str) -> str:
+        """Where a group's leader is called; empty: not known."""
+        ledger = self.all.get(group)
+        if ledger is not None and ledger.group.leads():
+            return self.me.call
+        told = self.heard.reports.get(group)
+        return told[1].call if told is not None and self.now() - told[2] <= FRESH_MS else ""
+
+    # --- What is led here ---------------------------------------------------------------------------------
+
+    def led(self) -> list[str]:
+        """Groups that this process leads."""
+        return [group for group, ledger in self.all.items() if ledger.group.leads()]
+
+    def reports(self) -> tuple[Report, ...]:
+        """What is told of them."""
+        return tuple(self._report(group) for group in self.led())
+
+    def _report(self, group: str) -> Report:
+        replica = self.all[group].group.replica
+        gone = lost(self.view(group), self.config.gone_ms)
+        return Report(group, replica.term, tuple((m.id, m.voter) for m in replica.members), gone)
+
+    def view(self, group: str, may_copy: bool = True) -> View:
+        """What this process sees of a group, as its leader."""
+        now, replica = self.now(), self.all[group].group.replica
+        since = self._leads_since.get(group, now)
+        heard = {
+            m.id: max(replica.peers[m.id].heard_at, since) for m in replica.members if m.id in replica.peers
+        }
+        placed = self.table.of(group)
+        return View(
+            self.me.id,
+            replica.members,
+            placed.homes if placed is not None else (),
+            {name: now - at for name, at in heard.items()},
+            self.present(),
+            frozenset(name for name, peer in replica.peers.items() if peer.match >= replica.commit),
+            FRESH_MS,
+            may_copy,
+        )
+
+    def sight(self) -> Sight:
+        """What this process sees of all groups, as leader of the one that agrees on places."""
+        now = self.now()
+        since = self._leads_since.get(PLACES, now)
+        heard: dict[str, float] = {}
+        for member, at in self.heard.present.values():
+            heard[member.name] = max(heard.get(member.name, 0.0), at)
+        names = {name for placed in self.table.placed for name in placed.homes}
+        reports = {g: told[0] for g, told in self.heard.reports.items() if now - told[2] <= FRESH_MS}
+        reports |= {report.group: report for report in self.reports()}
+        once: dict[str, Member] = {m.name: m for m in self.present()}
+        return Sight(
+            self.all[PLACES].store.table,
+            reports,
+            tuple(once.values()),
+            {name: now - max(heard.get(name, 0.0), since) for name in names},
+            self.config.gone_ms,
+            self.config.copies,
+        )
+
+    async def look(self) -> None:
+        """Bring the groups that are led here one step nearer to where they are wanted."""
+        now, led = self.now(), self.led()
+        before = set(self._leads_since)
+        self._leads_since = {group: self._leads_since.get(group, now) for group in led}
+        if set(led) != before:
+            self._changed()
+        self.know(self.all[PLACES].store.table)
+        order = sorted(led, key=lambda g: (self._copies(g), g))
+        copying = sum(any(not m.voter for m in self.all[g].group.replica.members) for g in led)
+        for group in order:
+            copying += self._step(group, copying < AT_ONCE)
+        if PLACES in led:
+            await self._replace()
+
+    def _copies(self, group: str) -> int:
+        """Voters of a group led here that are heard of: the fewer, the more endangered it is."""
+        replica, now = self.all[group].group.replica, self.now()
+        return sum(v == self.me.id or now - replica.peers[v].heard_at < FRESH_MS for v in replica.voters())
+
+    def short(self, group: str) -> int:
+        """Copies that are missing, as far as a leader hears; -1: not known here."""
+        if not self.all[group].group.leads():
+            return -1
+        return max(self.config.copies - self._copies(group), 0)
+
+    def _step(self, group: str, may_copy: bool) -> bool:
+        """Change a member, if one is to be changed; whether a copy was begun."""
+        ledger = self.all[group]
+        before = ledger.group.replica.members
+        members = next_change(self.view(group, may_copy))
+        if members is None:
+            return False
+        if all(m.id != self.me.id for m in members):
+            ledger.hand_over()  # whoever leads next takes us out
+            return False
+        try:
+            ledger.change(members)
+        except (NotLeaderError, BusyError):
+            return False
+        self.changes += 1
+        log.info(
+            Event(
+                "members",
+                "members of {group} are changed to {members}",
+                group=group,
+                members=", ".join(m.id + ("" if m.voter else " (learner)") for m in members),
+            )
+        )
+        return len(members) > len(before)
+
+    async def _replace(self) -> None:
+        """Agree on the next place, if one is to be changed."""
+        table = next_table(self.sight())
+        if table is None:
+            return
+        try:
+            await self.all[PLACES].write(lambda store, now: store.plan(table))
+        except (RefusedError, ElsewhereError, LaterError):
+            return  # it is looked at again
+        homes = {p.group: p.homes for p in table.placed if p.homes != self.table.of(p.group).homes}
+        log.info(Event("places", "places are changed: {homes}", homes=str(homes)))
+
+    def close(self) -> None:
+        """Nothing more is written."""
+        for ledger in self.all.values():
+            ledger.close()
--- a/yewstage/raft/core.py
+++ b/yewstage/raft/core.py
@@ -40,6 +40,7 @@
     encode,
     one_apart,
 )
+from yewstage.raft.pace import Pace
 
 FOLLOWER, CANDIDATE, LEADER = "follower", "candidate", "leader"  # a candidate asks for pre-votes first
 EMPTY = Snapshot(0, 0, (), b"")
@@ -119,19 +120,30 @@
     snapshot: Snapshot | None = None  # it is being sent
     offset: int = 0
     part_at: float = NEVER  # when the last part left
+    copy_to: int = 0  # entries up to here are a copy of what was there before it came, and go by the pace
+    waits: bool = False  # for the pace
 
     def reset(self, after: int) -> None:
         """Nothing is under way; what comes next stands behind an index."""
         self.next, self.probing, self.inflight_bytes = after + 1, True, 0
         self.inflight.clear()
-        self.snapshot = None
+        self.snapshot, self.waits = None, False
 
 
 class Replica:
     """One replica."""
 
-    def __init__(self, me: str, settings: Settings, saved: Saved, rng: random.Random, now: float) -> None:
+    def __init__(
+        self,
+        me: str,
+        settings: Settings,
+        saved: Saved,
+        rng: random.Random,
+        now: float,
+        pace: Pace | None = None,
+    ) -> None:
         self.me, self.settings, self._rng = me, settings, rng
+        self._pace = pace or Pace()
         self.term, self.vote = saved.term, saved.vote
         self.snapshot = saved.snapshot
         self.entries = [entry for entry in saved.entries if entry.index > saved.snapshot.index]
@@ -218,7 +230,8 @@
         """When `tick` is to be called at the latest."""
         if self.role != LEADER:
             return self._stand_at if self.me in self.voters() else float("inf")
-        return min(self._beat_at + self.settings.heartbeat_ms, self.confirmed_at + self.settings.election_ms)
+        at = min(self._beat_at + self.settings.heartbeat_ms, self.confirmed_at + self.settings.election_ms)
+        return min(at, self._pace.free_at) if any(peer.waits for peer in self.peers.values()) else at
 
     def take(self, now: float) -> Output:
         """What came out; the caller carries it out."""
@@ -239,12 +252,21 @@
                 if self._handing is not None and now >= self._handing[1]:
                     self._handing = None
                 self._beat(now)
+            elif self._pace.may(now):
+                self._go_on_copying(now)
         elif now >= self._stand_at:
             if self.me in self.voters():
                 self._ask(now, real=False)
             else:
                 self._stand_at = now + self._patience()
 
+    def _go_on_copying(self, now: float) -> None:
+        for name in [name for name, peer in self.peers.items() if peer.waits]:
+            if self.peers[name].snapshot is not None:
+                self._part_to(name, now)
+            else:
+                self._tell(name, now)
+
     def durable(self, now: float, number: int) -> None:
         """All writes up to this number are on the disk."""
         self._done = max(self._done, number)
@@ -357,7 +379,7 @@
 
     def _lead(self, now: float) -> None:
         self.role, self.leader, self.leader_zone = LEADER, self.me, ""
-        self.peers = {m.id: Peer(self.last + 1) for m in self.members if m.id != self.me}
+        self.peers = {m.id: self._new_peer(m) for m in self.members if m.id != self.me}
         self._rounds.clear()
         self._reads.clear()
         self._handing = None
@@ -478,8 +500,12 @@
 
     def _know_members(self) -> None:
         """As leader: follow exactly those who are members."""
-        names = [m.id for m in self.members if m.id != self.me]
-        self.peers = {name: self.peers.get(name) or Peer(self.last + 1) for name in names}
+        others = [m for m in self.members if m.id != self.me]
+        self.peers = {m.id: self.peers.get(m.id) or self._new_peer(m) for m in others}
+
+    def _new_peer(self, member: Member) -> Peer:
+        """What is there when a learner comes is copied at the pace; what comes later it gets like all."""
+        return Peer(self.last + 1, copy_to=0 if member.voter else self.last)
 
     def _cut(self, index: int) -> None:
         """Entries from an index on go: another leader has others there."""
@@ -564,15 +590,22 @@
                 self._append_to(name, (), now, self.commit)
             return
         window = self.settings
+        peer.waits = False
         while (
             not peer.probing
             and peer.next <= self.last
             and peer.inflight_bytes < window.window_bytes
             and len(peer.inflight) < window.window_messages
         ):
+            copies = peer.next <= peer.copy_to
+            peer.waits = copies and not self._pace.may(now)
+            if peer.waits:
+                break
             entries = self._batch(peer.next)
             self._append_to(name, entries, now)
             size = sum(entry.size() for entry in entries)
+            if copies:
+                self._pace.take(now, size)
             peer.next += len(entries)
             peer.inflight.append((peer.next - 1, size))
             peer.inflight_bytes += size
@@ -633,7 +666,7 @@
         while peer.inflight and peer.inflight[0][0] <= match:
             peer.inflight_bytes -= peer.inflight.popleft()[1]
         if peer.snapshot is not None and peer.match >= peer.snapshot.index:
-            peer.snapshot = None
+            peer.snapshot, peer.waits = None, False
         if peer.snapshot is None:
             peer.probing = False
         self._may_commit()
@@ -756,6 +789,10 @@
     def _part_to(self, name: str, now: float) -> None:
         peer = self.peers[name]
         snapshot, end = peer.snapshot, peer.offset + self.settings.batch_bytes
+        peer.waits = not self._pace.may(now)
+        if peer.waits:
+            return
+        self._pace.take(now, len(snapshot.data[peer.offset : end]))
         peer.part_at = now
         self._emit(
             Install(
