Spread copies over zones again when a lost zone is back

That much is shown by a test over the table: it fails without this change. Ruled out: lost writes (none was), histories.

Mend: a group whose homes crowd a zone while another has a free machine moves one copy there, when nothing else is on the move.

--- a/plumwall/faults/machines.py
+++ b/plumwall/faults/machines.py
@@ -238,7 +238,7 @@
 
     async def whole(self) -> dict[str, dict[str, object]]:
         """Wait until every copy of every group is there, on the disk that its machine has now, at its home,
-        and no change is under way; what each group's leader says of it."""
+        in as many zones as there are, and no change is under way; what each group's leader says of it."""
         while True:
             statuses = [s for s in await asyncio.gather(*map(self._told, self.all)) if s]
             newest = max(statuses, key=lambda s: s["epoch"], default={"epoch": 0})
@@ -257,6 +257,9 @@
     group: str, homes: list[str], statuses: list[dict[str, object]], ids: dict[str, str]
 ) -> dict[str, object]:
     """What a group's leader says of it; nothing if a copy is missing or in the wrong place."""
+    zones = {status["name"]: status["zone"] for status in statuses}
+    if len({zones.get(home) for home in homes}) < min(len(homes), len(set(zones.values()))):
+        return {}  # the next zone that is lost could take a majority along
     for status in statuses:
         here = status["groups"].get(group)
         if here is None or here["role"] != "leader":
--- a/tests/test_holding_groups.py
+++ b/tests/test_holding_groups.py
@@ -184,3 +184,53 @@
         client.close()
 
     with_groups(6, tmp_path, scenario)
+
+
+def test_an_old_member_that_comes_back_as_its_replacement_is_let_in_is_taken_out_and_forgets_nothing(
+    tmp_path: Path,
+) -> None:
+    async def scenario(machines: Machines) -> None:
+        client = machines.client()
+        names = {f"server-with-a-long-name-{i:04}" for i in range(150)}
+        for name in sorted(names):
+            await register(client, name)
+        whole = await machines.whole()
+        leader = await machines.leader()
+        old = next(m for m in machines.all if m.name in holders(whole, LIST) and m is not leader)
+        spare = next(m for m in machines.all if m.name not in holders(whole, LIST))
+        old.pause()
+        members: list[dict[str, object]] = []
+        while not any(not m["voter"] and name_of(m["id"]) == spare.name for m in members):
+            members = (await machines.status(leader))["groups"][LIST]["members"]
+            await asyncio.sleep(0.01)
+        old.wake()  # with all that it had: it is a voter still
+        whole = await machines.whole()
+        assert len(holders(whole, LIST)) == 3 and old.name not in holders(whole, LIST)
+        assert await listed(spare) == names
+        client.close()
+
+    with_groups(4, tmp_path, scenario, copy_bytes_per_s=60_000, snapshot_entries=40)
+
+
+def test_a_disk_that_fills_as_a_snapshot_is_written_loses_nothing_and_goes_on_when_there_is_room(
+    tmp_path: Path,
+) -> None:
+    async def scenario(machines: Machines) -> None:
+        client, names = machines.client(), set()
+        for i in range(30):
+            names.add(f"server-with-a-long-name-{i:04}")
+            await register(client, f"server-with-a-long-name-{i:04}")
+        full = machines.all[0]
+        full.fill(100)
+        for i in range(30, 160):  # each snapshot is longer than the one before
+            names.add(f"server-with-a-long-name-{i:04}")
+            await register(client, f"server-with-a-long-name-{i:04}")
+        while not any("nothing can be made durable here" in line for line in full.lines):
+            await asyncio.sleep(0.02)
+        full.make_room()
+        await machines.whole()
+        while await listed(full) != names:
+            await asyncio.sleep(0.02)
+        client.close()
+
+    with_groups(3, tmp_path, scenario, snapshot_entries=20)
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -99,6 +99,19 @@
     assert set(before) - lost <= set(after)
 
 
+@given(st.sampled_from("abc"), st.sampled_from("abc"))
+def test_a_zone_that_is_back_holds_its_copies_again_so_that_the_next_lost_zone_takes_no_majority(
+    first: str, second: str
+) -> None:
+    sight = all_there()
+    lost = [name for name, zone in ZONE.items() if zone == first]
+    table = settle(without(sight, *lost))[-1]
+    assert any(sorted(ZONE[h] for h in p.homes) != ["a", "b", "c"] for p in table.placed)
+    back = settle(replace(sight, table=table, reports=at_home(table)))[-1]
+    for placed in back.placed:
+        assert sum(ZONE[h] == second for h in placed.homes) == 1, placed.homes
+
+
 def test_one_process_that_hears_nobody_moves_nothing() -> None:
     sight = all_there()
     deaf = replace(sight, present=NINE[:1], silent_ms={m.name: 9000.0 for m in NINE[1:]})
--- a/yewstage/holding/places.py
+++ b/yewstage/holding/places.py
@@ -147,14 +147,17 @@
             homes = _mended(sight, placed)
             if homes is not None:
                 return table.rehomed(placed.group, homes)
+    if moving:
+        return None  # first what is under way
+    for placed in order:
+        homes = _spread(sight, placed)
+        if homes is not None:
+            return table.rehomed(placed.group, homes)
     for name in table.coming:
         for placed in order:
             homes = _shared(sight, placed, name)
-            if homes is None:
-                continue
-            if moving:
-                return None  # first what is under way
-            return table.rehomed(placed.group, homes)
+            if homes is not None:
+                return table.rehomed(placed.group, homes)
         return structs.replace(table, epoch=table.epoch + 1, coming=table.coming[1:])
     return None
 
@@ -234,6 +237,23 @@
     return (*kept, chosen.name) if chosen is not None else None
 
 
+def _spread(sight: Sight, placed: Placed) -> tuple[str, ...] | None:
+    """Homes in more zones, where there are more.
+
+    Danger: while a zone is away its copies are made in the others; were they left there when it is back, the
+    next zone that is lost could take a majority along.
+    """
+    zones = _zones(sight, placed, list(placed.homes))
+    free = [m for m in _free(sight, placed) if m.zone not in zones]
+    chosen = best(placed.group, free, {})
+    if chosen is None or max(zones.values()) < 2:
+        return None
+    crowded = max(zones, key=lambda zone: (zones[zone], zone))
+    here = {m.name: m.zone for m in (*placed.members, *sight.present)}
+    leaves = next(h for h in reversed(placed.homes) if here.get(h, "") == crowded)
+    return tuple(chosen.name if h == leaves else h for h in placed.homes)
+
+
 def _shared(sight: Sight, placed: Placed, name: str) -> tuple[str, ...] | None:
     """The homes of a group that a machine which comes in ought to hold; None where it does not."""
     usable = [m for m in sight.present if m.name not in sight.table.out]
