Refuse a move that crowds a zone, and count out machines that are out

Since copies are spread again by themselves, an operator's move into a zone that holds a copy already was taken and undone at once, and a test waited for it without end. Such a move is refused with its reason. The rig does not wait for zones whose machines are all out. The test of a member that comes back waits for what comes about: the copy is made on the machine of its own zone.

--- a/plumwall/faults/machines.py
+++ b/plumwall/faults/machines.py
@@ -138,8 +138,8 @@
         shutil.copytree(self.folder / "earlier", self.folder / "state")
 
     def tear(self, bytes_: int) -> None:
-        """Leave so many bytes of one more record at the end of each group's log, as a crash in the middle of a
-        write does. What was durable before stays: a disk that forgets it is another fault."""
+        """Leave so many bytes of one more record at the end of each group's log, as a crash in the middle of
+        a write does. What was durable before stays: a disk that forgets it is another fault."""
         for folder in {path.parent for path in (self.folder / "state").glob("*/log-*")}:
             with max(folder.glob("log-*")).open("ab") as log:
                 log.write(framed(b"torn" * bytes_)[:bytes_])
@@ -263,7 +263,8 @@
     group: str, homes: list[str], statuses: list[dict[str, object]], ids: dict[str, str]
 ) -> dict[str, object]:
     """What a group's leader says of it; nothing if a copy is missing or in the wrong place."""
-    zones = {status["name"]: status["zone"] for status in statuses}
+    out = max(statuses, key=lambda status: status["epoch"])["out"]
+    zones = {status["name"]: status["zone"] for status in statuses if status["name"] not in out}
     if len({zones.get(home) for home in homes}) < min(len(homes), len(set(zones.values()))):
         return {}  # the next zone that is lost could take a majority along
     for status in statuses:
--- a/yewstage/holding/places.py
+++ b/yewstage/holding/places.py
@@ -173,7 +173,10 @@
         raise RefusedError(409, f"{new} holds it already, is out, or is not there", "to")
     if not _settled(sight, placed):
         raise RefusedError(409, f"{group} is being moved already", "group")
-    return sight.table.rehomed(group, tuple(new if h == old else h for h in placed.homes))
+    homes = tuple(new if h == old else h for h in placed.homes)
+    if len(_zones(sight, placed, list(homes))) < len(_zones(sight, placed, list(placed.homes))):
+        raise RefusedError(409, f"with {new} it would stand in fewer zones, and be moved back", "to")
+    return sight.table.rehomed(group, homes)
 
 
 def taken_out(sight: Sight, name: str) -> Table:
