Say once what the holding and its rig said twice

A wrong field's answer, a replica opened and started, a machine by its name, the name in a member's id, and a call's answer: each had a twin.

--- a/plumwall/emulator/listservice.py
+++ b/plumwall/emulator/listservice.py
@@ -108,7 +108,7 @@
 
     async def change(self, kind: str, name: str) -> None:
         """A machine is lost with its disk; it comes back with an empty one."""
-        machine = next(machine for machine in self._machines.all if machine.name == name)
+        machine = self._machines.by_name(name)
         if kind == "holding_lost":
             await machine.kill(disk_too=True)
         else:
--- a/plumwall/faults/keyed.py
+++ b/plumwall/faults/keyed.py
@@ -20,7 +20,7 @@
 import numpy as np
 
 from plumwall.faults.gateways import GatewayProcess, Moods, Server
-from plumwall.faults.machines import HOST, Machine, Machines
+from plumwall.faults.machines import HOST, Machines
 
 Count = Annotated[int, msgspec.Meta(ge=1, le=100)]
 DEADLINE_MS, WINDOW_MS = 2000.0, 60_000.0
@@ -152,7 +152,7 @@
         await asyncio.gather(machine.kill(disk_too=True), gateway.kill())
         while self.outcome.served < served + self._plan.clients:
             await asyncio.sleep(0.01)  # the others go on without it
-        await asyncio.gather(self._back(machines, machine), gateway.start())
+        await asyncio.gather(machines.start(machine), gateway.start())
         try:
             async with asyncio.timeout(ROUND_S):
                 await machines.whole()
@@ -160,10 +160,6 @@
             raise RuntimeError(f"round {number}: not whole after {ROUND_S:.0f} s") from None
         self.outcome.whole_s.append(time.monotonic() - began)
 
-    @staticmethod
-    async def _back(machines: Machines, machine: Machine) -> None:
-        await machines.start(machine)
-
     # --- Clients ------------------------------------------------------------------------------------------
 
     async def _client(self, number: int, rng: np.random.Generator) -> None:
--- a/plumwall/faults/torture.py
+++ b/plumwall/faults/torture.py
@@ -268,8 +268,8 @@
 
     def look_at_shared(self, all_of_them: bool = False) -> list[Call]:
         """The fewest calls that show a history which is not linearizable, of the keys that are over."""
-        newest = f"shared-{int(time.monotonic() / KEY_S - 1)}"
-        over = [call for call in self.calls if all_of_them or _number(call.key) < _number(newest)]
+        newest = int(time.monotonic() / KEY_S - 1)
+        over = [call for call in self.calls if all_of_them or _number(call.key) < newest]
         gone = {call.key for call in over}
         self.calls = [call for call in self.calls if call.key not in gone]
         for key in sorted(gone):
--- a/yewstage/holding/calls.py
+++ b/yewstage/holding/calls.py
@@ -21,7 +21,7 @@
 from yewstage.raft.messages import Member, Members
 from yewstage.registry.config import NAME, Fields
 from yewstage.registry.ledger import ElsewhereError, LaterError
-from yewstage.registry.server import failed, misdirected, said
+from yewstage.registry.server import failed, malformed, misdirected, said
 from yewstage.registry.store import Entry, RefusedError
 
 FORGET_S = 0.2  # spacing of the look for keys whose window is over
@@ -80,8 +80,7 @@
         except msgspec.MsgspecError as error:
             return failed(400, str(error))
         except ConfigError as error:
-            field, _, why = str(error).partition(": ")
-            return failed(400, why, field)
+            return malformed(error)
 
     # --- How things are -----------------------------------------------------------------------------------
 
@@ -211,7 +210,7 @@
             await replicas.all[PLACES].write(lambda store, now: store.plan(table))
             return {"epoch": table.epoch, "homes": {p.group: list(p.homes) for p in table.placed}}
 
-        caller.answer(await self._answered(change))
+        await self._told(caller, change)
 
     async def _answered(self, work: Callable[[], Coroutine[object, object, dict[str, object]]]) -> Answer:
         """What came of a write, as callers are told it."""
@@ -288,8 +287,7 @@
         except msgspec.MsgspecError as error:
             return failed(400, str(error), "body")
         except ConfigError as error:
-            field, _, why = str(error).partition(": ")
-            return failed(400, why, field)
+            return malformed(error)
         self._spawn(self._told(caller, work))
         return None
 
--- a/yewstage/holding/node.py
+++ b/yewstage/holding/node.py
@@ -13,6 +13,7 @@
 from yewstage.holding.identity import Folder
 from yewstage.holding.kinds import LIST
 from yewstage.holding.link import VERSION, Hearing, Hello, Link, Said, frame
+from yewstage.holding.places import name_of
 from yewstage.holding.replicas import Replicas
 from yewstage.log import at
 from yewstage.metrics import Metric, count, gauge, gauges
@@ -146,7 +147,7 @@
         return (host, int(port)) if host else None
 
     def _send(self, group: str, message: AnyMessage) -> None:
-        name = message.dst.rpartition(".")[0]
+        name = name_of(message.dst)
         if name == self.config.name:
             return  # our own name's earlier disk
         (self._links.get(name) or self._link(name)).send(frame(Said(group, message)))
--- a/yewstage/holding/replicas.py
+++ b/yewstage/holding/replicas.py
@@ -111,11 +111,14 @@
 
     def said(self, group: str, message: AnyMessage) -> None:
         """A message of a group; the first one makes a replica that is empty, and counts for nothing yet."""
+        if NAME.fullmatch(group):
+            self._running(group).handle(message)
+
+    def _running(self, group: str) -> Copied:
+        """The replica of a group, opened and started where it was not yet."""
         if group not in self.all:
-            if not NAME.fullmatch(group):
-                return
             self.open(group).start()
-        self.all[group].handle(message)
+        return self.all[group]
 
     def begun(self, group: str) -> bool:
         """Whether this disk has ever held something of a group."""
@@ -149,12 +152,9 @@
         """All who are named begin with the same, so that it does not matter who does so first or late: it is
         what each would have been told."""
         group = placed.group
-        fresh = group not in self.all
-        ledger = self.open(group)
+        self._running(group)
         if self.begun(group) or group in self._beginning:
             return
-        if fresh:
-            ledger.start()
         self._beginning.add(group)
         self._spawn(self.begin(group, placed.members, self._first(placed)))
 
--- a/yewstage/registry/server.py
+++ b/yewstage/registry/server.py
@@ -42,6 +42,12 @@
     return said(status, {"error": why, **({"field": field} if field else {})})
 
 
+def malformed(error: ConfigError) -> Answer:
+    """A call whose field is wrong."""
+    field, _, why = str(error).partition(": ")
+    return failed(400, why, field)
+
+
 def misdirected(error: ElsewhereError) -> Answer:
     """Who does it instead."""
     return said(421, {"error": str(error), "leader": error.at})
@@ -115,8 +121,7 @@
                 raise ConfigError("id: must be 1 to 64 letters, digits, dots, colons, dashes and underlines")
             return methods[call.method](call, caller, name)
         except ConfigError as error:
-            field, _, why = str(error).partition(": ")
-            return failed(400, why, field)
+            return malformed(error)
         except RefusedError as error:
             self.refused += 1
             return failed(error.status, error.why, error.field)
