Carry out a scenario's faults never before their time

The tests ended once with a drain told at 1,699.83 ms where the list was to be silent until 1,700. Followed: the fault's own timer, set for 1,700 ms, fired 0.17 ms early. Cause: loops count timers in whole milliseconds from when their turn began. Ruled out: the list's silence (nothing was told while it lasted) and the bound of the test. Mend: a timer for a time of the shared clock looks at that clock and is set again if it is early; both places that carry out changes use it. The test sets a loop whose timers all fire at once.

--- a/plumwall/emulator/run.py
+++ b/plumwall/emulator/run.py
@@ -19,6 +19,7 @@
 from plumwall.emulator.metrics import Exporter
 from plumwall.emulator.process import ROOT, Lines, raise_descriptors, spawn_module
 from plumwall.emulator.tally import Row, Second, Tally
+from plumwall.emulator.timing import not_before
 from plumwall.judge import Judge, Verdict
 from plumwall.world.drawn import Change, Drawn
 
@@ -311,9 +312,7 @@
             worker.tell({"go": self.t0})
         loop = asyncio.get_running_loop()
         for change in self.drawn.changes:
-            loop.call_later(
-                max(0.0, (self.t0 + change.at_ms) / 1000 - time.monotonic()), self._change, change
-            )
+            not_before(loop, self.t0 + change.at_ms, self._change, change)
         self._spawn(self._watch())
         if self.registry is not None:
             self._spawn(self.registry.start_checkers())
--- a/plumwall/emulator/worker.py
+++ b/plumwall/emulator/worker.py
@@ -22,6 +22,7 @@
 from plumwall.emulator.clients import Front
 from plumwall.emulator.hosts import HostsOf
 from plumwall.emulator.identity import host_of
+from plumwall.emulator.timing import not_before
 from plumwall.world.drawn import Change, Drawn, GatewaySpec
 from yewstage.net.config import Address, address
 
@@ -73,9 +74,7 @@
     def go(self, t0: float) -> None:
         """The load begins at a time of the shared clock."""
         for change in self.drawn.changes:
-            self.loop.call_later(
-                max(0.0, t0 + change.at_ms - time.monotonic() * 1000) / 1000, self.part.change, change
-            )
+            not_before(self.loop, t0 + change.at_ms, self.part.change, change)
         self.loop.call_later(FLUSH_S, self._flush)
 
     def say(self, **words: object) -> None:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -17,6 +17,7 @@
 
 from plumwall.emulator.door import Door, respond
 from plumwall.emulator.tally import Tally
+from plumwall.emulator.timing import not_before
 
 ROOT = Path(__file__).parent.parent
 SMALL = """
@@ -242,6 +243,35 @@
     assert other.rows() == tally.rows() and other.offered_count == 100
 
 
+def test_a_timer_that_fires_early_is_set_again() -> None:
+    class Hasty:
+        """A loop whose timers fire at once, as one that counts in whole milliseconds may by a part of one."""
+
+        def __init__(self) -> None:
+            self.set: list[tuple] = []
+
+        def call_later(self, delay_s: float, call, *args: object) -> None:
+            self.set.append((call, args))
+
+        call_soon = None
+
+    loop, called = Hasty(), []
+    at_ms = time.monotonic() * 1000 + 1e7
+    not_before(loop, at_ms, called.append, "early")
+    for _ in range(3):
+        call, args = loop.set.pop()
+        call(*args)
+        assert not called and len(loop.set) == 1
+    on_loop(lambda: _due_now(called))
+    assert called == ["due"]
+
+
+async def _due_now(called: list[str]) -> None:
+    not_before(asyncio.get_running_loop(), time.monotonic() * 1000, called.append, "due")
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+
+
 def test_a_list_that_is_silent_tells_what_it_missed_afterwards(tmp_path: Path) -> None:
     faults = AT_ONCE + '[[faults]]\nkind = "list_down"\nat_s = 0.2\nfor_s = 1.5\n' + RELEASE
     done, outcome = play(tmp_path, SMALL.replace("length_s = 2", "length_s = 4") + faults)
