Pass on calls for the list, find out disks that forget, and model keys and places

A process without a copy of the list answered 503, a disk that lost acknowledged records stayed behind for good, and the checker played neither keys nor the code that decides where copies are to be.

A call for the list goes on to a holder, once, from a process that has no copy or too old a one; a watch is held here and asked for there in parts of 1 s, so that the age that is told is a bound by this process's own clock, also where it was stopped meanwhile. Not taken: every process a learner of the list (its leader would feed 200 of them), and one upstream watch mirrored into a second store (another place where revisions are kept).

A refusal below what was acknowledged, answering a question asked after the acknowledgement (its round shows that), is proof that a disk forgot: the member counts for what it has, is sent the rest, and is named by log, status and figure.

The model plays a group of keys (claims repeated through any replica, ends, releases, windows) and machines that come, go and lose their disks under places, members and hearsay, which moved out of the process's part for that. It found one: a whole copy was given up while one that was to stay had just lost its disk (docs/postmortems.md); mended in next_change.

--- a/plumwall/cli/holding.py
+++ b/plumwall/cli/holding.py
@@ -68,6 +68,9 @@
         return f"names used twice: {', '.join(status['usedTwice'])}"
     if not status["epoch"]:
         return "no places are agreed: run plumwall holding init"
+    forgot = sorted({m["id"] for here in held.values() for m in here["members"] if m["forgot"]})
+    if forgot:
+        return f"replace the disk of {', '.join(forgot)}: it forgets what it said to be durable"
     alone = [group for group, here in held.items() if not here["leader"]]
     if alone:
         return f"no leader of {', '.join(alone)}: a majority is not there, writes are refused"
--- a/plumwall/cli/torture.py
+++ b/plumwall/cli/torture.py
@@ -13,7 +13,7 @@
 from plumwall.cli.console import BadFileError, as_json, fields, waiting
 from plumwall.faults import torture as work
 from plumwall.faults.keyed import KeyedOutcome, KeyedPlan, KeyedTorture
-from plumwall.model import explore
+from plumwall.model import explore, places
 from plumwall.model.scenes import SCENES
 
 
@@ -117,7 +117,9 @@
 )
 @as_json
 def check_model(plans: int, steps: int, seed: int, depth: int, json_: bool) -> None:
-    """Play consensus and the store on it under virtual time: random plans, and all orders to a depth.
+    """Play consensus, the stores on it and where copies are to be under virtual time.
+
+    Random plans, and all orders to a depth.
 
     \b
     Example:
@@ -129,13 +131,15 @@
             found.append(
                 explore.search(range(seed, seed + plans), steps, say=lambda f: say(f"{f.plans} played"))
             )
+            say("random plans of where copies are to be")
+            found.append(places.search(range(seed, seed + plans), steps))
         for scene in SCENES if depth else ():
             say(f"all orders from {scene}")
             found.append(explore.every(scene, depth))
     for result in found:
         fields(
             {
-                "scene": "random" if result.plans else result.scene,
+                "scene": result.scene if result.scene == "places" or not result.plans else "random",
                 "plans": result.plans,
                 "steps": result.steps,
                 "states": result.states,
@@ -146,7 +150,7 @@
             json_,
         )
         if result.breach:
-            for step in explore.shorten(result):
+            for step in (places if result.scene == "places" else explore).shorten(result):
                 click.echo(" ".join(step), err=True)
     if any(result.breach for result in found):
         raise SystemExit(1)
--- a/plumwall/faults/machines.py
+++ b/plumwall/faults/machines.py
@@ -145,6 +145,12 @@
                 log.write(framed(b"torn" * bytes_)[:bytes_])
 
 
+    def forget(self, group: str) -> None:
+        """The last record of a group's log is gone, though it had been synced: a disk that lies."""
+        log = max((self.folder / "state" / group).glob("log-*"))
+        os.truncate(log, log.stat().st_size - 1)
+
+
 class Machines:
     """All of them, and the links."""
 
--- a/plumwall/model/cluster.py
+++ b/plumwall/model/cluster.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from yewstage.holding.group import Group, first_data
+from yewstage.holding.group import Group, Kept, first_data
 from yewstage.raft.core import LEADER, BusyError, NotLeaderError, Replica, Saved, Settings, first_state
 from yewstage.raft.messages import AnyMessage, Member, Members
 from yewstage.registry.store import Entry, Record, Rules, Store
@@ -83,13 +83,15 @@
 
 
 class Cluster:
-    """Replicas of one group, and what must hold of them all."""
+    """Replicas of one group that holds the list, and what must hold of them all."""
+
+    store: type[Kept] = Store
 
     def __init__(self, size: int = 3, planted: Planted | None = None) -> None:
         self.planted = planted or Planted()
         self.disks = 0
         members = tuple(self._member(f"n{i}") for i in range(size))
-        first = first_state(members, first_data(RULES, 1000))
+        first = first_state(members, self._first())
         self.nodes = [
             Node(m, Disk(replace(first, entries=[])), None, i * 3.6e6) for i, m in enumerate(members)
         ]
@@ -110,6 +112,10 @@
         for i in range(size):
             self._start(i)
 
+    def _first(self) -> bytes:
+        """The state that the group begins with."""
+        return first_data(RULES, 1000)
+
     def _member(self, name: str) -> Member:
         self.disks += 1
         return Member(f"{name}.{self.disks}", name, f"z{name[-1]}", "", "")
@@ -134,7 +140,7 @@
         node.lives += 1
         saved = replace(node.disk.saved, entries=list(node.disk.saved.entries))
         node.group = self.planted.group(
-            node.member.id, SETTINGS, RULES, saved, Steady(), self.now(i), self.planted.replica
+            node.member.id, SETTINGS, RULES, saved, Steady(), self.now(i), self.planted.replica, self.store
         )
         self._after(i)
 
@@ -278,6 +284,8 @@
             other = self.leaders.setdefault(replica.term, life)
             if other != life:
                 raise BreachError(f"term {replica.term} has two leaders: {other}, {life}")
+            if replica.forgot and not self.planted.keeps_name:
+                raise BreachError(f"{node.member.id} accuses a disk that has forgotten nothing")
         before = node.group.applied
         log = {e.index: (e.term, e.data) for e in replica.entries}
         result = node.group.take(self.now(i))
@@ -324,8 +332,12 @@
         self.holders = [held for held in self.holders if held[0] != holder]
         self.holders.append((holder, token, until))
 
+    def _calls(self) -> tuple[dict[tuple[int, int], object], ...]:
+        """Calls under way, by machine and ticket."""
+        return self.written, self.reads, self.asked
+
     def _forget_calls(self, i: int) -> None:
-        for calls in (self.written, self.reads, self.asked):
+        for calls in self._calls():
             for key in [key for key in calls if key[0] == i]:
                 del calls[key]
 
@@ -333,9 +345,13 @@
         """Who leads knows all that was acknowledged."""
         for node in self.nodes:
             if node.group is not None and node.group.leads() and not self._deposed(node):
-                missing = self.acknowledged - set(node.group.planned.records)
+                missing = self._missing(node.group.planned)
                 if missing:
-                    raise BreachError(f"leader {node.member.id} does not know {sorted(missing)}")
+                    raise BreachError(f"leader {node.member.id} does not know {missing}")
+
+    def _missing(self, planned: Kept) -> list[str]:
+        """What was promised and a leader does not know."""
+        return sorted(self.acknowledged - set(planned.records))
 
     def _deposed(self, node: Node) -> bool:
         term = node.group.replica.term
--- a/plumwall/model/explore.py
+++ b/plumwall/model/explore.py
@@ -15,6 +15,7 @@
 from msgspec import structs
 
 from plumwall.model.cluster import SETTINGS, TTL_MS, BreachError, Cluster, Planted
+from plumwall.model.keyed import KeyedCluster
 from plumwall.model.scenes import SCENES
 from yewstage.raft.messages import Members
 
@@ -86,6 +87,8 @@
             return cluster.change(i, changed(cluster, i, more))
         case "hand":
             return cluster.hand_over(i, more)
+        case "forget":
+            return isinstance(cluster, KeyedCluster) and cluster.forget(i)
         case _:
             return {"write": cluster.write, "read": cluster.read, "compact": cluster.compact}[name](i)
     return True
@@ -132,8 +135,9 @@
     "cut": 0.7,
     "heal": 0.7,
     "hand": 0.3,
+    "forget": 2,
 }
-CALLS = ("write", "read", "acquire", "change", "hand")
+CALLS = ("write", "read", "acquire", "change", "hand", "forget")
 MOODS = (0.1, 1.0, 1.0, 5.0)  # each plan has more of some kinds and less of others: swarm testing
 
 
@@ -166,6 +170,8 @@
             return [i for i, _ in nodes]
         case "heal":
             return [0] if cluster.cut else []
+        case "forget" if not isinstance(cluster, KeyedCluster):
+            return []
     return [i for i, n in nodes if n.group is not None]
 
 
@@ -233,15 +239,21 @@
     return True
 
 
-def shorten(found: Found, planted: Planted | None = None, within_s: float = 20.0) -> tuple[Step, ...]:
-    """The fewest steps, found by leaving out ever smaller parts, that still end in a breach."""
-    until, plan = time.perf_counter() + within_s, found.plan
-    part = len(plan) // 2
+def shorten(found: Found, planted: Planted | None = None) -> tuple[Step, ...]:
+    """The fewest steps of a plan that still end in a breach."""
+    return shortened(found.plan, lambda plan: breaks(found.scene, plan, planted))
+
+
+def shortened(
+    plan: tuple[Step, ...], breaks_after: Callable[[tuple[Step, ...]], int], within_s: float = 20.0
+) -> tuple[Step, ...]:
+    """A plan with ever smaller parts left out that still breaks something, after so many steps."""
+    until, part = time.perf_counter() + within_s, len(plan) // 2
     while part:
         at = 0
         while at < len(plan) and time.perf_counter() < until:
             shorter = plan[:at] + plan[at + part :]
-            ends = breaks(found.scene, shorter, planted)
+            ends = breaks_after(shorter)
             if ends:
                 plan = shorter[:ends]
             else:
@@ -319,6 +331,7 @@
     "acquire": 1,
     "change": 2,
     "compact": 1,
+    "forget": 1,
 }
 
 
@@ -353,7 +366,7 @@
 
 
 def _calls(i: int, can: set[str]) -> Iterator[Step]:
-    for name in ("write", "read", "compact"):
+    for name in ("write", "read", "compact", "forget"):
         if name in can:
             yield name, str(i)
     if "acquire" in can:
--- a/plumwall/model/planted.py
+++ b/plumwall/model/planted.py
@@ -6,7 +6,6 @@
 from yewstage.holding.group import Group, Result, encode_entry
 from yewstage.raft.core import Replica
 from yewstage.raft.messages import MEMBERS, AnyMessage, Members, VoteReply, encode
-from yewstage.registry.store import Store
 
 
 class _HastyVoter(Replica):
@@ -52,7 +51,7 @@
         fresh = self.planned is None
         super()._lead_or_not(now, result)
         if fresh and self.planned is not None:
-            self.planned = Store.restored(self.rules, self.store.snapshot(), now - 1e6)
+            self.planned = type(self.store).restored(self.rules, self.store.snapshot(), now - 1e6)
 
 
 PLANTED: dict[str, Planted] = {
@@ -61,6 +60,7 @@
     "read-by-a-deposed-leader": Planted(_ReadsAtOnce, scene="unheard"),
     "snapshot-forgets-a-lease": Planted(group=_ForgetsLeases, scene="held"),
     "old-lease-after-a-restart": Planted(group=_TrustsOldTimes, scene="held"),
+    "window-begun-before-a-restart": Planted(group=_TrustsOldTimes, scene="claimed"),
     "wiped-member-votes": Planted(keeps_name=True, scene="led"),
     "two-members-at-once": Planted(_ChangesAtOnce, scene="alone"),
 }
--- a/plumwall/model/scenes.py
+++ b/plumwall/model/scenes.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from plumwall.model.cluster import SETTINGS, TTL_MS, Cluster, Planted
+from plumwall.model.keyed import KEYS, KeyedCluster
 from yewstage.raft.core import LEADER
 from yewstage.raft.messages import Append
 
@@ -160,6 +161,24 @@
     return cluster
 
 
+def claimed(planted: Planted | None) -> Cluster:
+    """A group of keys: one is claimed, the other one has ended, and all were started anew after that."""
+    cluster = KeyedCluster(planted=planted)
+    elect(cluster, A)
+    for _ in range(KEYS):
+        cluster.write(A)
+    settle(cluster)
+    cluster.acquire(A, "h1")
+    settle(cluster)
+    for i in (A, B, C):
+        cluster.compact(i)
+    settle(cluster)
+    for i in (A, B, C):
+        cluster.crash(i)
+        cluster.restart(i)
+    return cluster
+
+
 SCENES: dict[str, Callable[[Planted | None], Cluster]] = {
     "start": start,
     "led": led,
@@ -169,4 +188,5 @@
     "alone": alone,
     "replaced": replaced,
     "held": held,
+    "claimed": claimed,
 }
--- a/tests/test_holding_groups.py
+++ b/tests/test_holding_groups.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from conftest import on_loop
-from test_holding import listed, register
+from test_holding import eventually, listed, register
 from test_registry import run
 
 from plumwall.faults.machines import HOST, Machine, Machines
@@ -17,6 +17,7 @@
 from yewstage.registry.client import Client, SilentError, Told
 
 KEYED = 3
+AGE_MS = 2000.0  # the most that a list may be old
 
 
 def with_groups(
@@ -241,3 +242,72 @@
         client.close()
 
     with_groups(3, tmp_path, scenario, snapshot_entries=20)
+
+
+def test_a_disk_that_forgets_what_it_synced_is_told_of_and_filled_again(tmp_path: Path) -> None:
+    async def scenario(machines: Machines) -> None:
+        client = machines.client()
+        key = next(f"k{i}" for i in range(99) if group_of(f"k{i}", KEYED) == "keys-1")
+        assert await claim(client, key, "g1/r1") == "yours"
+        await machines.whole()  # nobody writes to this group any more: nothing hides what is missing
+        leader = await machines.leader("keys-1")
+        liar = next(m for m in machines.all if m is not leader)
+        await liar.kill()
+        liar.forget("keys-1")
+        await machines.start(liar)
+        await machines.whole()
+        done = await plumwall(machines, "status")
+        assert "replace the disk of" in done.stdout and "forgets what" in done.stdout, done.stdout
+        assert any("replace the disk" in line and liar.name in line for line in leader.lines)
+        await leader.kill(disk_too=True)  # and what it had forgotten is there again
+        assert await claim(client, key, "g2/r9") == "begun"
+        client.close()
+
+    with_groups(3, tmp_path, scenario)
+
+
+def test_a_process_without_a_copy_tells_the_list_and_its_age_from_those_that_hold_it(tmp_path: Path) -> None:
+    async def scenario(machines: Machines) -> None:
+        writer = machines.client()
+        names = {f"s{i}" for i in range(5)}
+        for name in names:
+            await register(writer, name)
+        here = holders(await machines.whole(), LIST)
+        holding = [m for m in machines.all if m.name in here]
+        spare = next(m for m in machines.all if m.name not in here)
+        await eventually(spare, names)
+        client = Client([(HOST, spare.listen)])
+        revision = (await client.call("GET", "/v1/endpoints")).body["generation"]
+        path = f"/v1/endpoints?after={revision}&wait_ms=20000"
+        watch = asyncio.create_task(client.call("GET", path, None, 20.0))
+        await (holding[0]).kill(disk_too=True)  # wherever the watch is held, another one goes on with it
+        await register(writer, "s5")
+        told = await watch
+        assert [row["instanceId"] for row in told.body["instances"]] == ["s5"] and told.age_ms <= AGE_MS
+        path = f"/v1/endpoints?after={told.body['generation']}&wait_ms=50"
+        quiet = await client.call("GET", path)
+        assert quiet.status == 200 and not quiet.body["instances"] and not quiet.body["reset"]
+
+        asked = asyncio.create_task(client.call("GET", "/v1/endpoints?after=0&wait_ms=50", None, 20.0))
+        spare.pause()  # and one that slept on an answer does not tell it as fresh
+        await asyncio.sleep(AGE_MS / 1000 * 1.5)
+        spare.wake()
+        late = await asked
+        assert late.status == 503 or late.age_ms <= AGE_MS
+
+        for machine in machines.all:
+            if machine is not spare and machine.up():
+                machine.pause()
+        begun = await client.call("GET", "/v1/endpoints")
+        while begun.status == 200:
+            begun = await client.call("GET", "/v1/endpoints")
+        assert begun.status == 503  # nobody answers: nothing is told
+        for machine in machines.all:
+            if machine.up():
+                machine.wake()
+        await machines.start(holding[0])
+        await eventually(spare, names | {"s5"})
+        client.close()
+        writer.close()
+
+    with_groups(5, tmp_path, scenario, most_age_ms=AGE_MS)
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -12,9 +12,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from plumwall.model import places
+from plumwall.model.cluster import SETTINGS
 from plumwall.model.explore import every, search, shorten
+from plumwall.model.places import Decisions
 from plumwall.model.planted import PLANTED
 from plumwall.model.scenes import SCENES, A, B, C, beat, elect, led, settle, start
+from yewstage.holding.members import View, next_change
 from yewstage.raft.core import BusyError, NotLeaderError, Replica, Saved, Settings, Write, first_state
 from yewstage.raft.disk import Disk, DiskError, FullError
 from yewstage.raft.messages import (
@@ -40,7 +44,7 @@
     assert found.plans == 250 and not found.breach, (found.breach, found.scene, shorten(found))
 
 
-@pytest.mark.parametrize("scene", ["start", "candidates", "older-entry", "held"])
+@pytest.mark.parametrize("scene", ["start", "candidates", "older-entry", "held", "claimed"])
 def test_all_orders_of_events_to_a_depth_break_nothing(scene: str) -> None:
     found = every(scene, 3)
     assert found.complete and found.depth == 3 and found.states > 100 and not found.breach, found
@@ -53,10 +57,56 @@
     assert found.breach, f"not found in {found.plans} plans"
 
 
+def test_random_plans_of_lost_machines_and_operators_words_bring_every_copy_where_it_is_wanted() -> None:
+    found = places.search(range(150), 300)
+    assert found.plans == 150 and not found.breach, (found.breach, places.shorten(found))
+
+
+@pytest.mark.parametrize("mistake", [Decisions(places.hasty), Decisions(next_table=places.crowding)])
+def test_a_mistake_about_where_copies_are_to_be_is_found(mistake: Decisions) -> None:
+    found = places.search(range(100), 300, mistake)
+    assert found.breach and places.ending(places.shorten(found, mistake), mistake)[1]
+
+
+def test_a_whole_copy_stays_until_one_that_may_be_lost_is_there_again() -> None:
+    """m2 has been copied to m5, as it is taken out, when m0 loses its disk: without m2 two would be left."""
+
+    def view(silent_ms: float) -> View:
+        members = tuple(Member(f"{name}.1", name, "", "", "") for name in ("m0", "m2", "m4", "m5"))
+        there = (*members[1:], Member("m0.9", "m0", "a", "", ""))
+        silent = {"m0.1": silent_ms, "m2.1": 0.0, "m5.1": 0.0}
+        caught = frozenset(m.id for m in members[1:])
+        return View("m4.1", members, ("m0", "m4", "m5"), silent, there, caught, 4000.0)
+
+    assert next_change(view(100.0)) is None
+    assert [m.name for m in next_change(view(5000.0))] == ["m2", "m4", "m5"]  # the lost one goes first
+
+
 # --- By name
 # -----------------------------------------------------------------------------------------------------
 
 
+def test_a_disk_that_forgets_what_it_synced_is_found_out_counted_out_and_filled_again() -> None:
+    cluster = led(None)
+    cluster.cut |= {(A, B), (B, A)}  # C's word alone made the next one durable
+    assert cluster.write(A)
+    settle(cluster)
+    leader, forgetful = cluster.nodes[A].group.replica, cluster.nodes[C]
+    last, commit = leader.last, leader.commit
+    cluster.crash(C)
+    del forgetful.disk.saved.entries[-1:]
+    cluster.planted.keeps_name = True  # the model accuses whoever accuses a disk; this one is guilty
+    cluster.restart(C)
+    assert forgetful.group.replica.last == last - 1
+    for _ in range(4):
+        cluster.wait(SETTINGS.heartbeat_ms)
+        cluster.tick(A)
+        settle(cluster)
+    peer = leader.peers[forgetful.member.id]
+    assert (leader.forgot, peer.forgot, peer.match, leader.commit) == (1, 1, last, commit)
+    assert forgetful.group.replica.last == last and cluster.acknowledged <= set(forgetful.group.store.records)
+
+
 def leaders(cluster: object) -> list[int]:
     return [i for i, node in enumerate(cluster.nodes) if node.group is not None and node.group.leads()]
 
--- a/yewstage/holding/calls.py
+++ b/yewstage/holding/calls.py
@@ -9,7 +9,7 @@
 import msgspec
 from msgspec import structs
 
-from yewstage.holding.keys import DONE, Keys
+from yewstage.holding.keys import DONE, Keys, claiming
 from yewstage.holding.kinds import KEYED, LIST, MOST_KEYED, PLACES, group_of, names
 from yewstage.holding.ledger import Copied
 from yewstage.holding.members import beginner, used_twice
@@ -22,7 +22,7 @@
 from yewstage.registry.config import NAME, Fields
 from yewstage.registry.ledger import ElsewhereError, LaterError
 from yewstage.registry.server import failed, malformed, misdirected, said
-from yewstage.registry.store import Entry, RefusedError
+from yewstage.registry.store import RefusedError
 
 FORGET_S = 0.2  # spacing of the look for keys whose window is over
 LONGEST_ANSWER = 16 * 1024  # of a keyed request, as base64: what is longer is remembered as done only
@@ -126,6 +126,7 @@
                     "call": member.call,
                     "behind": replica.last - peer.match if peer is not None else None,
                     "heardMsAgo": heard,
+                    "forgot": peer.forgot if peer is not None else 0,
                 }
             )
         learner = replicas.me.id not in replica.voters()
@@ -296,21 +297,8 @@
         fields.done()
         told: dict[str, object] = {}
 
-        def plan(store: Keys, now: float) -> Entry | None:
-            told.clear()
-            known = store.records.get(key)
-            try:
-                return store.plan_claim(key, by, window_ms)
-            except RefusedError as error:
-                if error.status != 409:
-                    raise
-                told.update(state=known.state)
-                if known.state == DONE:
-                    told.update(status=known.status, answer=known.answer)
-                return None
-
         async def claim() -> dict[str, object]:
-            await ledger.write(plan)  # a refusal, too, rests on what a majority has
+            await ledger.write(claiming(key, by, window_ms, told))
             return told or {"state": "yours"}
 
         return claim
--- a/yewstage/holding/keys.py
+++ b/yewstage/holding/keys.py
@@ -9,6 +9,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 
 from yewstage.registry.store import Entry, RefusedError, Rules
@@ -29,6 +31,28 @@
     answer: str = ""  # base64
 
 
+def claiming(
+    key: str, by: str, window_ms: float, told: dict[str, object]
+) -> Callable[[Keys, float], Entry | None]:
+    """The plan of a claim that puts into `told` what is known where another request has the key: an answer
+    as any other, that may only be given once it rests on what a majority has."""
+
+    def plan(store: Keys, now: float) -> Entry | None:
+        told.clear()
+        known = store.records.get(key)
+        try:
+            return store.plan_claim(key, by, window_ms)
+        except RefusedError as error:
+            if error.status != 409:
+                raise
+            told.update(state=known.state)
+            if known.state == DONE:
+                told.update(status=known.status, answer=known.answer)
+            return None
+
+    return plan
+
+
 class Keys:
     """The store of a group that holds keys."""
 
--- a/yewstage/holding/ledger.py
+++ b/yewstage/holding/ledger.py
@@ -45,7 +45,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._soon = False
         self._halted = False  # the replica is being replaced by another one
-        self.unsure = 0
+        self.unsure = self._forgot_told = 0
         self.full = ""  # why the last write to the disk failed; empty: it did not
 
     # The service's side
@@ -155,6 +155,8 @@
         result = self.group.take(self.now())
         for message in result.messages:
             self._send(message)
+        if self.group.replica.forgot > self._forgot_told:
+            self._tell_forgot()
         self._queue += result.writes
         if self._queue and self._writing is None:
             self._writing = self._loop.create_task(self._write_on())
@@ -166,6 +168,17 @@
                 future.set_result(done.error)
         self._set_timer()
 
+    def _tell_forgot(self) -> None:
+        replica = self.group.replica
+        self._forgot_told = replica.forgot
+        log.error(
+            Event(
+                "disk_forgot",
+                "replace the disk: what it had said to be durable is gone at {members}",
+                members=", ".join(name for name, peer in replica.peers.items() if peer.forgot),
+            )
+        )
+
     def _set_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/yewstage/holding/members.py
+++ b/yewstage/holding/members.py
@@ -44,7 +44,10 @@
         return None
     leaving = [m for m in view.members if _leaves(view, m)]
     if leaving and len(view.members) > len(view.homes):
-        return _without(view, max(leaving, key=lambda m: (m.id != view.me, _silent(view, m))))
+        goes = max(leaving, key=lambda m: (_missing(view, m), m.id != view.me, _silent(view, m)))
+        if not _missing(view, goes) and any(_missing(view, m) for m in view.members if m not in leaving):
+            return None  # a whole copy is not given up while one that is to stay may be lost
+        return _without(view, goes)
     stay = {m.name for m in view.members if m not in leaving}
     twice = used_twice(view.present)
     coming = [
@@ -90,6 +93,11 @@
     return view.silent_ms.get(member.id, 0.0)
 
 
+def _missing(view: View, member: Member) -> bool:
+    """Whether a copy may be lost: its machine is not heard of, or is there with another disk."""
+    return member.id != view.me and (_reborn(view, member) or _silent(view, member) > view.fresh_ms)
+
+
 def _reborn(view: View, member: Member) -> bool:
     """Whether the machine is there with another disk."""
     return any(m.name == member.name and m.id != member.id for m in view.present)
--- a/yewstage/holding/node.py
+++ b/yewstage/holding/node.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import random
+from collections.abc import Coroutine
 
 from msgspec import structs
 
@@ -13,6 +14,7 @@
 from yewstage.holding.identity import Folder
 from yewstage.holding.kinds import LIST
 from yewstage.holding.link import VERSION, Hearing, Hello, Link, Said, frame
+from yewstage.holding.passing import Passing
 from yewstage.holding.places import name_of
 from yewstage.holding.replicas import Replicas
 from yewstage.log import at
@@ -48,6 +50,12 @@
         self.registry = Registry(config.service, self.replicas.all[LIST], loop, rng)
         self.calls = Calls(self.replicas, loop, self._spawn)
         self.registry.listener.handle = self._call
+        service = config.service
+        self.passing = Passing(
+            self.replicas.holders_of_list, self.registry.later, loop, rng, self._spawn,
+            service.watches, service.most_age_ms,
+        )
+        self.registry.pass_on = self.passing.list
 
     # --- Start and end ------------------------------------------------------------------------------------
 
@@ -80,6 +88,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.passing.close()
         self.replicas.close()
 
     def _fail(self, why: str) -> None:
@@ -87,10 +96,11 @@
         self.failure = why
         self.over.set()
 
-    def _spawn(self, work: object) -> None:
+    def _spawn(self, work: Coroutine) -> asyncio.Task:
         task = self._loop.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._ended)
+        return task
 
     def _ended(self, task: asyncio.Task) -> None:
         """A part that failed is not missed in silence."""
@@ -196,9 +206,12 @@
                 "that the files take",
                 sum(ledger.disk.bytes() for ledger in replicas.all.values()),
             ),
-            count("holding_elections", "stood in here", sum(r.elections for r in held.values())),
+            count("holding_elections", "stood in here", self._sum_of("elections")),
             count("holding_member_changes", "begun here", replicas.changes),
             count("holding_copied_bytes", "sent to copies that are made", replicas.pace.copied),
+            count("holding_disk_forgot", "what a peer's disk had said to be durable", self._sum_of("forgot")),
+            count("holding_passed_on", "calls for the list, to one that holds it", self.passing.passed),
+            count("holding_passed_on_failed", "nobody answered in time", self.passing.failed),
             count("holding_unsure", "writes whose result is not known here", self._sum("unsure")),
             count("holding_syncs", "of the disk", sum(one.disk.syncs for one in replicas.all.values())),
             count("holding_messages", "sent to other replicas", sum(link.sent for link in links)),
@@ -212,3 +225,6 @@
 
     def _sum(self, name: str) -> int:
         return sum(getattr(ledger, name) for ledger in self.replicas.all.values())
+
+    def _sum_of(self, name: str) -> int:
+        return sum(getattr(ledger.group.replica, name) for ledger in self.replicas.all.values())
--- a/yewstage/holding/replicas.py
+++ b/yewstage/holding/replicas.py
@@ -6,16 +6,17 @@
 import logging
 import random
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
 
 from yewstage.holding.config import HoldingConfig
 from yewstage.holding.group import Group, encode_entry, first_data
+from yewstage.holding.hearsay import FRESH_MS, Hearsay
 from yewstage.holding.identity import Folder
 from yewstage.holding.kinds import LIST, NAME, PLACES, store_of
 from yewstage.holding.ledger import Copied
 from yewstage.holding.members import View, lost, next_change
 from yewstage.holding.places import AT_ONCE, Placed, Places, Report, Sight, Table, next_table
 from yewstage.log import Event
+from yewstage.net.config import Address, address
 from yewstage.raft.core import BusyError, NotLeaderError, Saved, Write, first_state
 from yewstage.raft.disk import Disk
 from yewstage.raft.messages import AnyMessage, Member, Members
@@ -25,17 +26,6 @@
 
 log = logging.getLogger(__name__)
 
-FRESH_MS = 4000.0  # a process that was heard of within this is there: four of its signs of life
-FORGET_MS = 60_000.0
-
-
-@dataclass(slots=True)
-class Heard:
-    """What others say of themselves, and when each last did, ms."""
-
-    present: dict[str, tuple[Member, float]]  # by id
-    reports: dict[str, tuple[Report, Member, float]]  # by group: its leader's
-
 
 class Replicas:
     """All of them. Groups and their disks are made here; what they say goes out by `send`."""
@@ -57,7 +47,7 @@
         self.pace = Pace(config.copy_bytes_per_s)
         self.all: dict[str, Copied] = {}
         self.table = Table()
-        self.heard = Heard({}, {})
+        self.heard = Hearsay()
         self.cut = self.changes = 0
         self._leads_since: dict[str, float] = {}
         self._beginning: set[str] = set()
@@ -129,14 +119,7 @@
 
     def hear(self, member: Member, leads: tuple[Report, ...], table: Table) -> None:
         """What a process says of itself."""
-        now, heard = self.now(), self.heard
-        if member.id not in heard.present:  # disks that are long gone are forgotten
-            heard.present = {k: told for k, told in heard.present.items() if now - told[1] < FORGET_MS}
-        heard.present[member.id] = member, now
-        for report in leads:
-            known = heard.reports.get(report.group)
-            if known is None or known[0].term <= report.term:
-                heard.reports[report.group] = report, member, now
+        self.heard.hear(member, leads, self.now())
         self.know(table)
 
     def know(self, table: Table) -> None:
@@ -182,10 +165,7 @@
 
     def present(self) -> tuple[Member, ...]:
         """Processes that are there, this one too."""
-        now = self.now()
-        return self.me, *(
-            m for m, at in self.heard.present.values() if now - at <= FRESH_MS and m.id != self.me.id
-        )
+        return self.heard.there(self.me, self.now())
 
     def leader_of(self, group: str) -> str:
         """Where a group's leader is called; empty: not known."""
@@ -195,6 +175,15 @@
         told = self.heard.reports.get(group)
         return told[1].call if told is not None and self.now() - told[2] <= FRESH_MS else ""
 
+    def holders_of_list(self) -> tuple[Address, ...]:
+        """Where others are called that hold the list; none while this process tells it itself."""
+        ledger, placed = self.all[LIST], self.table.of(LIST)
+        member = any(m.id == self.me.id for m in ledger.group.replica.members)
+        if placed is None or member and ledger.age_ms() <= self.config.service.most_age_ms:
+            return ()
+        calls = {m.name: m.call for m in self.present() if m.id != self.me.id}
+        return tuple(address({"call": calls[home]}, "call") for home in placed.homes if home in calls)
+
     def _hearsay(self, group: str) -> str:
         """Where a group's leader is called, as others say. Who is a member knows by consensus whether there
         is one; who was one, and has been taken out, may not have heard of it."""
@@ -239,22 +228,11 @@
     def sight(self) -> Sight:
         """What this process sees of all groups, as leader of the one that agrees on places."""
         now = self.now()
+        led = {report.group: report for report in self.reports()}
         since = self._leads_since.get(PLACES, now)
-        heard: dict[str, float] = {}
-        for member, at in self.heard.present.values():
-            heard[member.name] = max(heard.get(member.name, 0.0), at)
-        names = {name for placed in self.table.placed for name in placed.homes}
-        reports = {g: told[0] for g, told in self.heard.reports.items() if now - told[2] <= FRESH_MS}
-        reports |= {report.group: report for report in self.reports()}
-        once: dict[str, Member] = {m.name: m for m in self.present()}
-        return Sight(
-            self.all[PLACES].store.table,
-            reports,
-            tuple(once.values()),
-            {name: now - max(heard.get(name, 0.0), since) for name in names},
-            self.config.gone_ms,
-            self.config.copies,
-        )
+        config = self.config
+        return self.heard.sight(self.all[PLACES].store.table, led, self.me, now, since, config.gone_ms,
+                                config.copies)
 
     async def look(self) -> None:
         """Bring the groups that are led here one step nearer to where they are wanted."""
--- a/yewstage/raft/core.py
+++ b/yewstage/raft/core.py
@@ -111,6 +111,8 @@
 
     next: int
     match: int = 0
+    matched_in: int = 0  # our round when that was heard: what we ask in a later one is read after it was said
+    forgot: int = 0  # how often it has lost what it had said to be durable
     probing: bool = True  # where its log meets ours is not known: signs of life only
     inflight: deque[tuple[int, int]] = field(default_factory=deque)  # last index, bytes
     inflight_bytes: int = 0
@@ -165,6 +167,7 @@
         self._fresh_at = NEVER  # our own time as of which we know all that was committed
         self._part: tuple[tuple[int, int, int, int], bytearray] | None = None
         self.elections = 0
+        self.forgot = 0  # times that a peer of ours has lost what it had said to be durable
         # As a candidate or leader.
         self._granted: set[str] = set()
         self._asked_at = now
@@ -657,11 +660,27 @@
         ):
             peer.reset(max(m.match, peer.match))
             self._tell(m.src, now, beat=True)
+        elif m.prev_index <= peer.match and m.round > peer.matched_in:
+            self._forgotten(m, peer, now)
+
+    def _forgotten(self, m: AppendReply, peer: Peer, now: float) -> None:
+        """A replica refuses what it had said to be durable, by an answer to a question that we asked after it
+        had said so: its disk forgets. It counts for what it has now, and is sent the rest again.
+
+        Danger: what was committed with its word may be on a minority from now on, until it has it again; no
+        protocol can keep that promise for a disk that lies. It is told, so that the disk is replaced.
+        """
+        peer.match, peer.matched_in = min(peer.match, m.match), self._round
+        peer.forgot += 1
+        self.forgot += 1
+        peer.reset(peer.match)
+        self._tell(m.src, now, beat=True)
 
     def _acknowledged(self, name: str, peer: Peer, match: int, now: float) -> None:
         if match > self.last:
             return  # not by what we have sent
-        peer.match = max(peer.match, match)
+        if match > peer.match:
+            peer.match, peer.matched_in = match, self._round
         peer.next = max(peer.next, match + 1)
         while peer.inflight and peer.inflight[0][0] <= match:
             peer.inflight_bytes -= peer.inflight.popleft()[1]
--- a/yewstage/registry/client.py
+++ b/yewstage/registry/client.py
@@ -38,6 +38,7 @@
     status: int
     body: dict[str, object]
     retry_after_s: float = 0.0
+    age_ms: float = float("inf")  # bound on how old it was when it was given; not told: nothing is known
 
 
 class Client:
@@ -131,11 +132,16 @@
     body = json.loads(reply.body or b"{}")
     if not isinstance(body, dict):
         raise ValueError("an answer that is no object")
+    retry = _number(reply, b"retry-after", 0.0)
+    age = _number(reply, b"x-age-ms", float("inf"))
+    return Told(reply.status, body, retry if 0 <= retry < 3600 else 0.0, age if age >= 0 else float("inf"))
+
+
+def _number(reply: Reply, header: bytes, default: float) -> float:
     try:
-        retry = float(reply.headers.get(b"retry-after", b"0"))
+        return float(reply.headers.get(header, default))
     except ValueError:
-        retry = 0.0
-    return Told(reply.status, body, retry if 0 <= retry < 3600 else 0.0)
+        return default
 
 
 async def _dial(target: Address, use: Use) -> _Line:
--- a/yewstage/registry/server.py
+++ b/yewstage/registry/server.py
@@ -28,7 +28,10 @@
 KEPT_ENCODINGS = 64  # of the list's changes, for watchers that are not all equally far
 TOLD_S = 10.0  # spacing of the log's word that too many servers are silent
 
+PASSED = "passed"  # in a query: another process passes the call on, it is not passed on again
+
 Handler = Callable[[Call, Caller, str], Answer | None]
+PassOn = Callable[[int | None, int, Caller], bool]  # behind which revision, ms to wait; whether it was taken
 
 
 def said(status: int, body: dict[str, object], headers: bytes = b"") -> Answer:
@@ -60,6 +63,7 @@
                  ) -> None:
         self.config, self.ledger, self._loop, self._rng = config, ledger, loop, rng
         ledger.changed = self._changed
+        self.pass_on: PassOn | None = None  # to whom calls for the list go that cannot be answered here
         manners = Manners(config.connections, CALL_S, READ_S, IDLE_S, failed)
         self.listener = Listener(loop, self.handle, manners)
         self._watches: dict[Caller, tuple[int, asyncio.TimerHandle]] = {}  # who waits behind which revision
@@ -129,31 +133,33 @@
     # --- Lists and watches --------------------------------------------------------------------------------
 
     def _list(self, call: Call, caller: Caller, name: str) -> Answer | None:
-        after, wait_ms = _whole(call, "after", None), _whole(call, "wait_ms", 0)
+        after, wait_ms = _whole(call, "after", None), min(_whole(call, "wait_ms", 0), LONGEST_WAIT_MS)
+        if self.pass_on is not None and PASSED not in call.query and self.pass_on(after, wait_ms, caller):
+            return None
         if not self.ready():
             self.turned_away_early += 1
-            return self._later("the list is not complete yet")
+            return self.later("the list is not complete yet")
         age_ms = self.ledger.age_ms()
         if age_ms > self.config.most_age_ms:
             self.turned_away_old += 1
-            return self._later(f"what is known here may be {age_ms / 1000:.0f} s old")
+            return self.later(f"what is known here may be {age_ms / 1000:.0f} s old")
         if after is None:
             return self._listing(None)
         changes = self.store.changes(after)
         ahead = after > self.store.revision and self.ledger.live() is None  # another replica has told more
         if ahead and not wait_ms:
-            return self._later("not as far as that yet")
+            return self.later("not as far as that yet")
         if not ahead and (changes or changes is None or not wait_ms):
             return self._listing(after if changes is not None else None)
         if len(self._watches) >= self.config.watches:
             self.turned_away += 1
-            return self._later("too many watches")
-        timer = self._loop.call_later(min(wait_ms, LONGEST_WAIT_MS) / 1000, self._waited, caller)
+            return self.later("too many watches")
+        timer = self._loop.call_later(wait_ms / 1000, self._waited, caller)
         self._watches[caller] = (after, timer)
         caller.gone = lambda: self._unwatch(caller)
         return None
 
-    def _later(self, why: str) -> Answer:
+    def later(self, why: str) -> Answer:
         """Come back, and not all at one moment."""
         wait = b"Retry-After: %.2f\r\n" % self._rng.uniform(*RETRY_S)
         answer = failed(503, why)
@@ -178,7 +184,7 @@
         after, _ = self._watches.pop(caller)
         if self.ledger.age_ms() > self.config.most_age_ms or after > self.store.revision:
             self.turned_away_old += 1
-            caller.answer(self._later("what is known here may be too old"))
+            caller.answer(self.later("what is known here may be too old"))
         else:
             caller.answer(self._listing(after))
 
@@ -217,11 +223,11 @@
         except ElsewhereError as error:
             caller.answer(self._elsewhere(error))
         except LaterError as error:
-            caller.answer(self._later(str(error)))
+            caller.answer(self.later(str(error)))
         except FullError as error:
             log.error(Event("not_durable", "a write could not be made durable: {error}", error=str(error)))
             self.failed += 1
-            caller.answer(self._later(f"writes are refused: {error}"))
+            caller.answer(self.later(f"writes are refused: {error}"))
         except Exception:
             log.exception(Event("write_failed", "a write failed"))
             caller.answer(failed(500, "the service failed"))
@@ -229,7 +235,7 @@
     def _elsewhere(self, error: ElsewhereError) -> Answer:
         """Writes go to the leader: told where that is; come back later while there is none."""
         if not error.at:
-            return self._later(str(error))
+            return self.later(str(error))
         return misdirected(error)
 
     async def _expire(self) -> None:
