Tell gateways who of their fleet is there: SWIM over datagrams, off without peers

First part of what limits and verdicts of the fleet stand on. Nothing decides by it yet.

Design: yewstage/membership/swim.py is the protocol as a pure state machine: probes, asking through three others, suspicion with a time to object that shortens as others suspect too, local health, incarnations that only the member itself raises, news told on a bounded number of times in messages that are sent anyway, and digests by bucket that mend what got lost and bring halves together that held each other dead. A process that was stopped gives the others the time that it slept. node.py has the socket and the timer; a next process joins once the one before it has left. plumwall members shows each gateway's view and who differs; plumwall/faults/fleet.py starts gateways with a stand-in for each direction of each link.

Not taken: zones as separate rings (what is seen across zones is what leaving one needs), push-pull of whole tables over TCP (a second port; 32 digests find what differs in one datagram), a clock in messages.

Found on the way: two processes of one name answered each other's answers without end (37 s of processor time for 30 s); answers go to questions only now.

--- a/plumwall/cli/main.py
+++ b/plumwall/cli/main.py
@@ -23,6 +23,7 @@
     "undrain": "servers:undrain",
     "leases": "servers:leases",
     "holding": "holding:holding",
+    "members": "members:members",
     "torture": "torture:torture",
     "check-model": "torture:check_model",
     "config": "check:config",
--- a/plumwall/cli/servers.py
+++ b/plumwall/cli/servers.py
@@ -23,7 +23,8 @@
 TRIES = 2  # of each address; repeating any of these calls is harmless
 
 
-def _addresses(context: click.Context, parameter: click.Parameter, value: str) -> list[Address]:
+def addresses(context: click.Context, parameter: click.Parameter, value: str) -> list[Address]:
+    """An option's HOST:PORT,..."""
     return [host_port("--at", at) for at in value.split(",")]
 
 
@@ -33,7 +34,7 @@
         "--at",
         required=True,
         metavar="HOST:PORT[,...]",
-        callback=_addresses,
+        callback=addresses,
         envvar="PLUMWALL_REGISTRY",
         show_envvar=True,
         help="Addresses of the list service.",
--- a/plumwall/faults/gateways.py
+++ b/plumwall/faults/gateways.py
@@ -22,17 +22,14 @@
 
     def __init__(self, name: str, folder: Path, raw: dict[str, object]) -> None:
         self.name, self.folder, self._raw = name, folder, raw
-        self.listen = self.ops = 0
+        self.listen = self.ops = self.members = 0
         self.process: asyncio.subprocess.Process | None = None
         self.lines: list[str] = []
         self._reading: asyncio.Task | None = None
 
     async def start(self) -> None:
         """Start the process; returns once it is ready."""
-        self.folder.mkdir(parents=True, exist_ok=True)
-        path = self.folder / "gateway.json"
-        own = {"name": self.name, "listen": f"{HOST}:{self.listen}", "ops": f"{HOST}:{self.ops}"}
-        path.write_bytes(msgspec.json.encode(self._raw | own))
+        path = self._write()
         environ = {**os.environ, "PYTHONPATH": str(ROOT), "ROUTER_CONFIG": str(path.resolve())}
         environ["TMPDIR"] = str(self.folder.resolve())
         self.process = await spawn(
@@ -42,6 +39,8 @@
             self.lines.append(line)
             if "operators' address" in line:
                 self.ops = int(line.rsplit(":", 1)[1])
+            elif "hearing members on" in line:
+                self.members = int(line.rsplit(":", 1)[1])
             elif "listening on" in line:
                 self.listen = int(line.rsplit(":", 1)[1])
                 break
@@ -51,11 +50,32 @@
         while not await is_ready(HOST, self.listen):
             await asyncio.sleep(READY_S)
 
+    def _write(self) -> Path:
+        self.folder.mkdir(parents=True, exist_ok=True)
+        path = self.folder / "gateway.json"
+        own = {"name": self.name, "listen": f"{HOST}:{self.listen}", "ops": f"{HOST}:{self.ops}"}
+        path.write_bytes(msgspec.json.encode(self._raw | own))
+        return path
+
     async def _read(self, process: asyncio.subprocess.Process) -> None:
         while line := await process.stderr.readline():
             self.lines.append(line.decode())
             del self.lines[:-500]
 
+    def up(self) -> bool:
+        """Whether its process runs."""
+        return self.process is not None and self.process.returncode is None
+
+    def set(self, **changes: object) -> None:
+        """Other values in the configuration file, for the next start or the next SIGHUP."""
+        self._raw = self._raw | changes
+        self._write()
+
+    async def end(self) -> int:
+        """SIGTERM; its exit status."""
+        self.process.terminate()
+        return await self.process.wait()
+
     async def kill(self) -> None:
         """SIGKILL: what it had in its memory is lost."""
         kill(self.process)
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,300 @@
+"""Who is there: the protocol under virtual time, and real gateways with faults between them."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+from conftest import on_loop
+from hypothesis import given
+from hypothesis import strategies as st
+from test_registry import run
+
+from plumwall.faults.fleet import Fleet
+from plumwall.faults.machines import HOST
+from plumwall.model.members import KEY, Net, fleet
+from yewstage.membership.config import peers
+from yewstage.membership.messages import (
+    ALIVE,
+    LONGEST,
+    SUSPECT,
+    BadDatagramError,
+    Letter,
+    Page,
+    Ping,
+    Row,
+    opened,
+    sealed,
+)
+from yewstage.membership.swim import Settings, Swim
+from yewstage.net.config import ConfigError
+
+ROW = Row("g1", 7, "at:1", "a", "west", 1)
+ROOT = Path(__file__).parent.parent
+NEW, OLD, FOREIGN = "aa" * 16, "bb" * 16, "cc" * 16
+
+
+# --- Under virtual time
+
+
+@pytest.mark.parametrize("size", [12, 60])
+def test_one_that_is_lost_is_held_dead_by_all_within_its_bound_and_nobody_else_ever_is(size: int) -> None:
+    net = fleet(size, 5)
+    began = net.now
+    net.kill(5)
+    net.run(40_000)
+    told = net.told(5, since=began)
+    period, patience = net.settings.period_ms, net.seats[0].swim.suspect_ms(0)
+    assert len(told) == size - 1 and net.false({5}) == 0
+    assert told[0] - began <= 2 * size * period + patience  # each asks all others in turn
+    net.start(5)
+    net.until_agreed(40_000)
+    assert net.false({5}) == 0
+
+
+def test_one_in_twenty_that_stand_still_have_nobody_condemned_and_are_back_when_they_wake() -> None:
+    net = fleet(40, 6)
+    still = set(range(0, 40, 20))
+    for i in still:
+        net.stall(i, 30_000)
+    net.run(29_000)
+    assert net.false(still) == 0
+    assert all(net.told(i) for i in still)
+    net.run(1_500)
+    net.until_agreed(60_000)
+    assert net.false(still) == 0
+
+
+def test_halves_that_were_cut_apart_find_each_other_without_help_though_each_held_the_other_dead() -> None:
+    net = fleet(16, 7)
+    net.split(range(8), range(8, 16))
+    net.run(120_000)
+    for seat in net.seats:
+        seen = {row.name: row.state for row in seat.swim.rows()}
+        assert sum(state == ALIVE for state in seen.values()) == 8
+    net.links.cut.clear()
+    net.until_agreed(60_000)
+
+
+@pytest.mark.parametrize(("loss", "repeat"), [(0.05, 0.1), (0.2, 0.0)])
+def test_lost_and_repeated_datagrams_condemn_nobody(loss: float, repeat: float) -> None:
+    net = fleet(20, 8)
+    net.links.loss, net.links.repeat, net.links.delay_ms = loss, repeat, (0.1, 120.0)
+    net.run(120_000)
+    assert net.false(set()) == 0
+    assert sum(seat.swim.dropped["repeated"] for seat in net.seats) > 0 or not repeat
+
+
+def test_one_that_hears_nobody_but_is_heard_condemns_nobody_for_others() -> None:
+    net = fleet(12, 9)
+    net.links.cut |= {(i, 3) for i in range(12) if i != 3}
+    net.run(60_000)
+    others = [seat.swim for seat in net.seats if seat.number != 3]
+    for swim in others:  # it says that they are dead, and each of them objects
+        states = {row.name: row.state for row in swim.rows() if row.name != "g3"}
+        assert sum(state in (ALIVE, SUSPECT) for state in states.values()) == 11
+    net.links.cut.clear()
+    net.until_agreed(60_000)
+
+
+def test_a_restart_under_the_same_name_is_a_new_life_and_what_the_old_one_said_counts_no_more() -> None:
+    net = fleet(6, 10)
+    old = net.seats[4].swim
+    said = sealed(Letter("fleet", old.me, 99, Page((net.seats[1].swim.me,))), KEY)
+    net.kill(4)
+    net.start(4)  # nobody has missed it yet
+    net.until_agreed(20_000)
+    swim = net.seats[0].swim
+    held = next(row for row in swim.rows() if row.name == "g4")
+    assert held.life == net.seats[4].swim.me.life != old.me.life
+    before = swim.dropped["earlier life"]
+    swim.handle(net._clock(0), opened(said, "fleet", (KEY,)))
+    assert swim.dropped["earlier life"] == before + 1
+    assert not any(seat.swim.contested for seat in net.seats)
+
+
+def test_a_name_used_twice_is_found_by_the_one_that_gives_way_and_they_do_not_outbid_each_other() -> None:
+    net = fleet(6, 11)
+    net.seats[5].swim = None
+    net.start(5, name="g4")
+    net.run(30_000)
+    twins = [net.seats[4].swim, net.seats[5].swim]
+    assert any(swim.contested for swim in twins)
+    assert max(swim.me.incarnation for swim in twins) < 20
+    winner = max(twins, key=lambda swim: swim.me.life)
+    held = {next(r for r in seat.swim.rows() if r.name == "g4").life for seat in net.seats[:4]}
+    assert held == {winner.me.life}
+
+
+def test_what_is_sealed_otherwise_is_of_another_cluster_or_too_long_is_counted_and_dropped() -> None:
+    data = sealed(Letter("fleet", ROW, 1, Ping(1, 2)), KEY)
+    assert opened(data, "fleet", (b"o" * 32, KEY)).sender == ROW  # two keys during a change
+    assert len(data) < LONGEST
+    for wrong, why in (
+        (data[:-1] + bytes((data[-1] ^ 1,)), "forged"),
+        (sealed(Letter("fleet", ROW, 1, Ping(1, 2)), b"x" * 32), "forged"),
+        (sealed(Letter("other", ROW, 1, Ping(1, 2)), KEY), "foreign"),
+        (bytes((9,)) + data[1:], "version"),
+        (b"", "version"),
+        (data + b"x" * LONGEST, "oversized"),
+    ):
+        with pytest.raises(BadDatagramError, match=why):
+            opened(wrong, "fleet", (KEY,))
+
+
+SAID = st.tuples(st.integers(0, 3), st.integers(1, 4), st.integers(1, 3))
+
+
+@given(st.lists(SAID, max_size=12), st.randoms())
+def test_whatever_the_order_all_come_to_hold_the_same_of_a_member(
+    said: list[tuple[int, int, int]], rng: random.Random
+) -> None:
+    rows = [Row("g1", life, "at:1", "a", "west", inc, state) for state, inc, life in said]
+    held = []
+    for _ in range(3):
+        swim = Swim(Row("g0", 1, "at:0", "a", "west", 1), Settings("fleet"), (), random.Random(1), 0.0)
+        for serial, row in enumerate(rng.sample(rows, len(rows)) + rows[:2], 1):
+            swim.handle(0.0, Letter("fleet", Row("g2", 1, "at:2", "a", "w", 1), serial, Page((row,))))
+        held.append(next((row for row in swim.rows() if row.name == "g1"), None))
+    assert held[0] == held[1] == held[2] == max(rows, key=Row.rank, default=None)
+
+
+def test_every_letter_fits_into_a_datagram_and_what_it_tells_on_is_bounded() -> None:
+    net = Net(300, 3)
+    for i in range(300):
+        net.start(i)
+    longest = [0]
+    send = net._send
+
+    def noted(seat, to, letter) -> None:
+        longest[0] = max(longest[0], len(sealed(letter, KEY)))
+        send(seat, to, letter)
+
+    net._send = noted
+    net.run(8_000)
+    assert 1000 < longest[0] <= LONGEST
+
+
+def test_a_bad_configuration_names_its_field() -> None:
+    good = {"cluster": "c", "listen": f"{HOST}:0", "keys": [NEW]}
+    assert peers({"name": "g0", "peers": good}).keys == (bytes.fromhex(NEW),)
+    for change, field in (
+        ({"keys": []}, "peers.keys"),
+        ({"keys": ["zz"]}, r"peers.keys\[0\]"),
+        ({"keys": ["aa"]}, r"peers.keys\[0\]"),
+        ({"keys": [NEW, OLD, FOREIGN]}, "peers.keys"),
+        ({"seeds": ["x"]}, r"peers.seeds\[0\]"),
+        ({"reach": {"g1": 3}}, "peers.reach.g1"),
+        ({"answer_ms": 900.0}, "peers.answer_ms"),
+        ({"typo": 1}, "peers.typo"),
+    ):
+        with pytest.raises(ConfigError, match=field):
+            peers({"name": "g0", "peers": good | change})
+
+
+def test_without_peers_nothing_of_it_is_loaded() -> None:
+    code = (
+        "import sys, yewstage.__main__; from yewstage.net.config import parse; "
+        "parse({'listen': 'h:1', 'discovery': 'h:2', 'seed': '1', 'settings': {'grades': "
+        "[{'name': 'a', 'objective_ms': 1.0, 'deadline_ms': 2.0, 'effect': 'safe'}]}}); "
+        "sys.exit(bool({'msgspec', 'xxhash', 'yewstage.membership'} & set(sys.modules)))"
+    )
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=False)
+    assert done.returncode == 0, done.stderr
+
+
+# --- Real gateways
+
+
+def with_fleet(
+    folder: Path, size: int, scenario: Callable[[Fleet], Awaitable[None]], keys: list[str]
+) -> None:
+    async def played() -> None:
+        async with Fleet(folder, size, keys) as fleet:
+            await fleet.until(fleet.names, dict.fromkeys(fleet.names, "alive"))
+            await scenario(fleet)
+
+    on_loop(played, 100)
+
+
+def test_gateways_find_out_who_is_lost_stopped_cut_off_or_gone_and_who_is_back(tmp_path: Path) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        names = fleet.names
+        await fleet.gateways["g1"].kill()
+        rest = [name for name in names if name != "g1"]
+        await fleet.until(rest, {"g1": "dead"})
+        await fleet.start("g1")
+        await fleet.until(names, dict.fromkeys(names, "alive"))
+
+        fleet.gateways["g2"].process.send_signal(signal.SIGSTOP)
+        rest = [name for name in names if name != "g2"]
+        await fleet.until(rest, {"g2": "dead"})
+        fleet.gateways["g2"].process.send_signal(signal.SIGCONT)
+        await fleet.until(names, dict.fromkeys(names, "alive"))
+
+        inside = [name for name in names if fleet.zone[name] == "a"]
+        outside = [name for name in names if name not in inside]
+        fleet.split(inside)
+        await fleet.until(inside, dict.fromkeys(outside, "dead") | dict.fromkeys(inside, "alive"))
+        await fleet.until(outside, dict.fromkeys(inside, "dead") | dict.fromkeys(outside, "alive"))
+        ops = ",".join(f"{HOST}:{fleet.gateways[name].ops}" for name in names)
+        done = await asyncio.to_thread(run, "plumwall", "members", "--at", ops)
+        assert done.returncode == 1 and "seen otherwise by" in done.stdout and "dead" in done.stdout
+        fleet.heal()
+        await fleet.until(names, dict.fromkeys(names, "alive"))
+
+        assert await fleet.gateways["g5"].end() == 0  # it says that it goes: nobody has to suspect it
+        rest = [name for name in names if name != "g5"]
+        await fleet.until(rest, dict.fromkeys(rest, "alive") | {"g5": "left"})
+        told = [await fleet.status(name) for name in rest]
+        assert not any(one["contested"] for one in told)
+        ops = ",".join(f"{HOST}:{fleet.gateways[name].ops}" for name in rest)
+        while (await asyncio.to_thread(run, "plumwall", "members", "--at", ops)).returncode != 0:
+            pass  # the last objections are on their way
+
+    with_fleet(tmp_path, 6, scenario, [NEW])
+
+
+def test_keys_are_changed_while_one_is_down_and_what_is_forged_is_counted(tmp_path: Path) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        names, down = fleet.names, "g3"
+        await fleet.gateways[down].kill()
+        rest = [name for name in names if name != down]
+        await fleet.until(rest, {down: "dead"})
+        for keys in ([OLD, NEW], [NEW, OLD], [NEW]):  # each is taken by all before any signs with it
+            for name in rest:
+                taken = await figure(fleet, name, "gateway_cfg_accepted_total")
+                fleet.rekey(name, keys)
+                while await figure(fleet, name, "gateway_cfg_accepted_total") == taken:
+                    await asyncio.sleep(0.02)
+            assert "dead" not in [(await fleet.states(rest[0]))[name] for name in rest]
+        await fleet.start(down, keys=[OLD])  # it has slept through the change
+        while not (await fleet.status(rest[0]))["dropped"].get("forged"):
+            await asyncio.sleep(0.02)
+        assert (await fleet.states(rest[0]))[down] == "dead"
+        fleet.rekey(down, [NEW])
+        await fleet.until(names, dict.fromkeys(names, "alive"))
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            foreign = sealed(Letter("other", ROW, 1, Ping(1, 2)), bytes.fromhex(NEW))
+            for data in (b"\xff" * 64, b"x" * 3000, foreign):
+                sock.sendto(data, (HOST, fleet.gateways["g0"].members))
+        while not {"version", "oversized", "foreign"} <= set((await fleet.status("g0"))["dropped"]):
+            await asyncio.sleep(0.02)
+
+    with_fleet(tmp_path, 4, scenario, [OLD])
+
+
+async def figure(fleet: Fleet, name: str, figure: str) -> float:
+    reader, writer = await asyncio.open_connection(HOST, fleet.gateways[name].ops)
+    writer.write(b"GET /ops/stats HTTP/1.1\r\n\r\n")
+    text = (await reader.read()).decode()
+    writer.close()
+    return float(text.split(f"\n{figure} ", 1)[1].split("\n", 1)[0])
+
--- a/yewstage/__main__.py
+++ b/yewstage/__main__.py
@@ -4,11 +4,14 @@
 
 import asyncio
 import gc
+import json
 import logging
 import os
+import random
 import signal
 import sys
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import uvloop
 
@@ -19,6 +22,9 @@
 from yewstage.net.handover import Handover
 from yewstage.net.ops import Ops
 
+if TYPE_CHECKING:
+    from yewstage.membership.node import Peers
+
 log = logging.getLogger(__name__)
 
 ACCEPT_S = 0.5  # after SIGTERM, connections still come for 0.4 s
@@ -35,8 +41,9 @@
     """What this process shares with one before or after it on the same listening socket."""
 
     def __init__(self, core: Core, server: Server, loop: asyncio.AbstractEventLoop,
-                 handover: Handover | None) -> None:
+                 handover: Handover | None, peers: Peers | None) -> None:
         self._core, self._server, self._loop, self._handover = core, server, loop, handover
+        self._peers = peers
 
     def start(self) -> None:
         """Begin to accept, once a process before us has left that to us."""
@@ -44,6 +51,7 @@
             log.info(Event("waiting", "another process serves: waiting for it to hand over"))
             self._core.share(True)
         else:
+            self._join()
             self._accept(self._loop.time() + READY_S if self._handover is not None else 0.0)
             self._watch()
 
@@ -54,8 +62,15 @@
         elif not self._core.draining:
             self._loop.call_later(CHECK_S, self._accept, at_latest)
 
+    def _join(self) -> None:
+        """One process at a time goes by our name among the others."""
+        if self._peers is not None:
+            self._peers.start()
+
     def hand_over(self) -> bool:
         """Leave all to the next process; False if there is none."""
+        if self._peers is not None:
+            self._peers.leave()
         if self._handover is None or not self._handover.succeeded():
             return False
         self._handover.hand_over(self._core.hand_over())
@@ -70,6 +85,7 @@
         how = "with no word" if state is None else "with what was handed over"
         log.info(Event("taking_over", "taking over, {how}", how=how))
         self._core.take_over(state)
+        self._join()
         self._accept(self._loop.time() + READY_S)
 
     def _alone(self) -> None:
@@ -123,7 +139,19 @@
         self._core.fail_all()
 
 
-def _reconfigure(core: Core, server: Server, first: Config) -> None:
+async def _open_peers(config: Config, core: Core, loop: asyncio.AbstractEventLoop) -> Peers | None:
+    """Where peers are configured: this process among them, with its address, that says nothing yet."""
+    if config.peers is None:
+        return None
+    from yewstage.membership.node import Peers  # what it needs is paid only where there are some
+
+    peers = Peers(config.peers, config.name, loop, random.Random(config.seed))
+    log.info(at("members", "hearing members on", await peers.open()))
+    core.more_figures = peers.figures
+    return peers
+
+
+def _reconfigure(core: Core, server: Server, peers: Peers | None, first: Config) -> None:
     """SIGHUP: take what the configuration says now; one that is no good changes nothing."""
     try:
         config = reload(os.environ, first)
@@ -139,6 +167,8 @@
     server.retune(names)
     server.resize(config.sockets, config.longest_upload)
     core.reconfigure(config)
+    if peers is not None and config.peers is not None:
+        peers.rekey(config.peers.keys)
     core.stats.accepted += 1
 
 
@@ -155,13 +185,15 @@
     loop = asyncio.get_running_loop()
     core = Core(config, loop)
     server = Server(core, loop, config.sockets)
-    succession = Succession(core, server, loop, _handover(config, loop))
+    peers = await _open_peers(config, core, loop)
+    succession = Succession(core, server, loop, _handover(config, loop), peers)
     shutdown = Shutdown(core, server, loop, succession)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, shutdown.begin)
-    loop.add_signal_handler(signal.SIGHUP, _reconfigure, core, server, config)
+    loop.add_signal_handler(signal.SIGHUP, _reconfigure, core, server, peers, config)
     core.start()
-    ops = Ops(loop, core.ready, core.figures, core.stats.descriptors.uses["ops"])
+    pages = {"/ops/members": lambda: json.dumps(peers.status()).encode()} if peers is not None else {}
+    ops = Ops(loop, core.ready, core.figures, core.stats.descriptors.uses["ops"], pages)
     if config.ops is not None:
         log.info(at("ops", "operators' address", await ops.start(config.ops)))
     address = server.start(config.listen, config.listen_fd)
@@ -175,6 +207,8 @@
     await shutdown.done.wait()
     succession.stop()
     ops.stop()
+    if peers is not None:
+        peers.stop()
     core.stop()
     log.info(Event("ended", "ended: {text}", text=core.farewell()))
 
--- /dev/null
+++ b/yewstage/membership/node.py
@@ -0,0 +1,188 @@
+"""One member on its event loop: datagrams in and out, a timer, what is known for operators."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import secrets
+from collections import Counter
+
+from yewstage.log import Event
+from yewstage.membership.config import PeersConfig
+from yewstage.membership.messages import ALIVE, STATES, BadDatagramError, Row, opened, sealed
+from yewstage.membership.swim import Swim
+from yewstage.net.config import Address, address
+
+log = logging.getLogger(__name__)
+
+
+class Peers(asyncio.DatagramProtocol):
+    """This process among the others."""
+
+    def __init__(
+        self, config: PeersConfig, name: str, loop: asyncio.AbstractEventLoop, rng: random.Random
+    ) -> None:
+        self.config, self._name, self._loop, self._rng = config, name, loop, rng
+        self.keys = config.keys
+        self.swim: Swim | None = None
+        self._transport: asyncio.DatagramTransport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._addresses: dict[str, Address] = {}
+        self.dropped: Counter[str] = Counter()  # datagrams, by reason
+        self.sent = self.sent_bytes = self.came = 0
+        self._contested = False
+
+    # --- Life ---------------------------------------------------------------------------------------------
+
+    async def open(self) -> Address:
+        """Take the address; nothing is said yet. OSError where it is taken."""
+        self._transport, _ = await self._loop.create_datagram_endpoint(
+            lambda: self, local_addr=self.config.listen
+        )
+        return self._transport.get_extra_info("sockname")[:2]
+
+    def start(self) -> None:
+        """Say that we are there. A process that goes on for another one does so once that one leaves."""
+        if self.swim is not None:
+            return
+        host, port = self._transport.get_extra_info("sockname")[:2]
+        config = self.config
+        me = Row(self._name, secrets.randbits(62), f"{host}:{port}", config.zone, config.region, 1)
+        self.swim = Swim(me, config.settings, config.seeds, self._rng, self._now())
+        self._pump()
+
+    def leave(self) -> None:
+        """Say that we go; what comes after that is not read."""
+        if self.swim is not None and not self.swim.left:
+            self.swim.leave(self._now())
+            self._pump()
+
+    def stop(self) -> None:
+        """Leave and close."""
+        self.leave()
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._transport is not None:
+            self._transport.close()
+
+    def rekey(self, keys: tuple[bytes, ...]) -> None:
+        """Other keys: the first signs, each is taken."""
+        self.keys = keys
+
+    # --- Datagrams ----------------------------------------------------------------------------------------
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        self.came += 1
+        if self.swim is None:
+            return
+        try:
+            letter = opened(data, self.config.settings.cluster, self.keys)
+        except BadDatagramError as error:
+            self.dropped[str(error)] += 1
+            return
+        self.swim.handle(self._now(), letter)
+        self._pump()
+
+    def error_received(self, exc: OSError) -> None:
+        """Nobody is at an address that we sent to: its silence says so anyway."""
+
+    def _now(self) -> float:
+        return self._loop.time() * 1000
+
+    def _ring(self) -> None:
+        self.swim.tick(self._now())
+        self._pump()
+
+    def _pump(self) -> None:
+        out = self.swim.take()
+        for name, at, letter in out.letters:
+            data = sealed(letter, self.keys[0])
+            self.sent += 1
+            self.sent_bytes += len(data)
+            self._transport.sendto(data, self._where(name, at))
+        for row in out.changes:
+            self._tell(row)
+        if self.swim.contested != self._contested:
+            self._contested = self.swim.contested
+            if self._contested:
+                log.error(Event("name_used_twice", "another process goes by {name}", name=self._name))
+        if self._timer is not None:
+            self._timer.cancel()
+        due = self.swim.next_at()
+        self._timer = self._loop.call_at(due / 1000, self._ring) if due != float("inf") else None
+
+    def _where(self, name: str, at: str) -> Address:
+        if name in self.config.reach:
+            return self.config.reach[name]
+        if at not in self._addresses:
+            if len(self._addresses) > 4096:  # of members that came and went
+                self._addresses.clear()
+            self._addresses[at] = address({"at": at}, "at")
+        return self._addresses[at]
+
+    @staticmethod
+    def _tell(row: Row) -> None:
+        words = {"member": row.name, "state": STATES[row.state], "zone": row.zone, "by": row.by}
+        text = "{member} of zone {zone} is {state}" + (", says {by}" if row.by else "")
+        log.log(logging.INFO if row.state == ALIVE else logging.WARNING, Event("member", text, **words))
+
+    # --- What is known ------------------------------------------------------------------------------------
+
+    def status(self) -> dict[str, object]:
+        """For `plumwall members`. Ages in ms, by this process's clock."""
+        swim = self.swim
+        if swim is None:
+            return {"name": self._name, "started": False, "members": []}
+        now = self._now()
+        rows = [self._row(swim.me, 0.0)]
+        rows += [self._row(other.row, now - other.since) for other in swim.others.values()]
+        return {
+            "name": self._name,
+            "started": True,
+            "cluster": self.config.settings.cluster,
+            "health": swim.health,
+            "contested": swim.contested,
+            "suspicions": swim.suspicions,
+            "falseSuspicions": swim.false_suspicions,
+            "refuted": swim.refuted,
+            "sentBytes": self.sent_bytes,
+            "dropped": dict(self._drops()),
+            "members": sorted(rows, key=lambda row: row["name"]),
+        }
+
+    def _drops(self) -> Counter[str]:
+        return self.dropped + self.swim.dropped if self.swim is not None else self.dropped
+
+    @staticmethod
+    def _row(row: Row, since_ms: float) -> dict[str, object]:
+        return {
+            "name": row.name,
+            "life": f"{row.life:x}",
+            "at": row.at,
+            "zone": row.zone,
+            "region": row.region,
+            "incarnation": row.incarnation,
+            "state": STATES[row.state],
+            "by": row.by,
+            "sinceMs": round(since_ms),
+        }
+
+    def figures(self) -> dict[str, float]:
+        """By name, as the gateway's figures are told."""
+        if self.swim is None:
+            return {}
+        swim = self.swim
+        states = Counter(row.state for row in swim.rows())
+        return {
+            **{f'members{{state="{STATES[s]}"}}': states[s] for s in range(len(STATES))},
+            "members_health": swim.health,
+            "members_contested": int(swim.contested),
+            "members_suspicions_total": swim.suspicions,
+            "members_false_suspicions_total": swim.false_suspicions,
+            "members_refuted_total": swim.refuted,
+            "members_sent_total": self.sent,
+            "members_sent_bytes_total": self.sent_bytes,
+            "members_received_total": self.came,
+            **{f'members_dropped_total{{reason="{why}"}}': n for why, n in sorted(self._drops().items())},
+        }
--- a/yewstage/net/config.py
+++ b/yewstage/net/config.py
@@ -8,12 +8,16 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from yewstage import interface as api
 from yewstage import wire
 from yewstage.log import FORMATS
 from yewstage.net.discovery import Listing, parse_listing
 
+if TYPE_CHECKING:
+    from yewstage.membership.config import PeersConfig
+
 Address = tuple[str, int]
 DEFAULT_SOCKETS = 1024
 LEAST_SOCKETS = 64  # leaves a reserve beside clients, hosts, counter, discovery, operators and the loop's own
@@ -53,6 +57,7 @@
     longest_upload: int  # bytes
     log: str  # text or json
     holding: tuple[Address, ...] = ()  # who keeps the record of keyed requests; none: there is no record
+    peers: PeersConfig | None = None  # the fleet that this gateway is a member of; None: it knows of none
 
 
 def load(environ: Mapping[str, str]) -> Config:
@@ -130,7 +135,7 @@
         dial_ms=links["dial_timeout_ms"], idle_ms=links["conn_idle_ms"],
         memory_mb=_limit(raw, "memory_mb", DEFAULT_MEMORY_MB, LEAST_MEMORY_MB),
         longest_upload=int(_limit(raw, "upload_mb", DEFAULT_UPLOAD_MB, LEAST_UPLOAD_MB) * 2 ** 20),
-        log=_log(raw), holding=_addresses(raw, "holding"))
+        log=_log(raw), holding=_addresses(raw, "holding"), peers=_peers(raw))
 
 
 def _descriptor(environ: Mapping[str, str]) -> int | None:
@@ -160,6 +165,14 @@
     return tuple(address({f"{field}[{i}]": at}, f"{field}[{i}]") for i, at in enumerate(value))
 
 
+def _peers(raw: Mapping[str, object]) -> PeersConfig | None:
+    if raw.get("peers") is None:
+        return None
+    from yewstage.membership.config import peers  # what it needs is paid only where there is one
+
+    return peers(raw)
+
+
 def _log(raw: Mapping[str, object]) -> str:
     style = raw.get("log", FORMATS[0])
     if style not in FORMATS:
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -9,6 +9,7 @@
 import random
 import time
 from collections import deque
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
@@ -147,6 +148,7 @@
         self._started = 0.0
         self._beat_due = time.monotonic() + BEAT_S
         self._heard = False  # discovery has answered in this life
+        self.more_figures: Callable[[], Mapping[str, float]] = dict  # of parts beside this one
         self.draining = False
         self.shared = False  # with another process: each has half of the descriptors
 
@@ -220,7 +222,8 @@
         """What operators read."""
         return self.stats.text(self._owed, *self._gateway.rotation(), self._pool.figures(),
                                self._body_figures(), self._ramp_figures(),
-                               self._record.figures() if self._record is not None else {})
+                               self._record.figures() if self._record is not None else {},
+                               self.more_figures())
 
     def _ramp_figures(self) -> dict[str, float]:
         """How pressed the back end looks, and what part of new work is let in by that."""
--- a/yewstage/net/ops.py
+++ b/yewstage/net/ops.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from yewstage.net.serve import Answer, Call, Caller, Listener, Manners
 from yewstage.net.stats import Use
@@ -16,8 +16,10 @@
     """Answers operators however busy the process is."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, ready: Callable[[], bool],
-                 figures: Callable[[], str], use: Use | None = None) -> None:
-        self._ready, self._figures = ready, figures
+                 figures: Callable[[], str], use: Use | None = None,
+                 pages: Mapping[str, Callable[[], bytes]] | None = None) -> None:
+        """`pages`: what else is told, as JSON, by path."""
+        self._ready, self._figures, self._pages = ready, figures, dict(pages or {})
         self._listener = Listener(loop, self._answer, Manners(CALLERS, CALL_S, CALL_S), use)
 
     async def start(self, address: tuple[str, int]) -> tuple[str, int]:
@@ -29,10 +31,12 @@
         self._listener.stop()
 
     def _answer(self, call: Call, caller: Caller) -> Answer:
-        if call.path not in ("/ops/readiness", "/ops/stats"):
+        if call.path not in ("/ops/readiness", "/ops/stats", *self._pages):
             return Answer(404)
         if call.method != "GET":
             return Answer(405)
         if call.path == "/ops/stats":
             return Answer(200, self._figures().encode())
+        if call.path in self._pages:
+            return Answer(200, self._pages[call.path](), b"application/json")
         return Answer(200, b"ready\n") if self._ready() else Answer(503, b"not ready\n")
