Share what gateways see in tables with a bound on how old it is, first of failing servers

An entry has one origin, which numbers its changes; a member asks another what it lacks of some origins (Scuttlebutt). Knowledge comes in answers to one's own questions alone: its age is what the answer says, stretched by the drift that is allowed, plus the time since the question was asked. So it is a bound by one's own clock, whatever links, pauses and other machines' clocks do, and what is older than its table's bound is not there. Memory is bounded by origin; what is gone leaves as many traces as there may be entries, and who is further behind is told the whole. The gateway's side is net/peers.py: it puts the servers that its module finds failing into the first table. plumwall verdicts.

Not taken: news pushed in probes (how long it was on its way is known to nobody), an age for each entry (each would have to be told again and again, not each origin), signatures of origins (who has the key can lie about others: readers weigh by origins).

Real gateways: found by one, known to all; cut off, forgotten after 10 s and never shown older; healed; restarted with nothing.

--- a/plumwall/cli/main.py
+++ b/plumwall/cli/main.py
@@ -24,6 +24,7 @@
     "leases": "servers:leases",
     "holding": "holding:holding",
     "members": "members:members",
+    "verdicts": "members:verdicts",
     "torture": "torture:torture",
     "check-model": "torture:check_model",
     "config": "check:config",
--- a/plumwall/cli/members.py
+++ b/plumwall/cli/members.py
@@ -1,4 +1,4 @@
-"""`plumwall members`: who of a fleet is there, as gateways say at their operators' addresses."""
+"""`plumwall members`, `plumwall verdicts`: who of a fleet is there, and what its gateways find of servers."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 import click
 
-from plumwall.cli.console import as_json, say_json, say_table
+from plumwall.cli.console import WorkFailedError, as_json, say_json, say_table
 from plumwall.cli.servers import addresses
 from yewstage.net.config import Address
 from yewstage.registry.client import ask_once
@@ -15,11 +15,42 @@
 WAIT_S = 2.0
 SEEN = ("name", "zone", "region", "state", "for", "incarnation", "by", "seen otherwise by")
 STATES = ("alive", "suspect", "dead", "left")
+VERDICTS = ("server", "fails for", "of zones", "gateways (times in a row)", "oldest word")
 ASKED = ("asked", "name", *STATES, "health", "false suspicions", "dropped", "trouble")
 
 
+at_option = click.option(
+    "--at", required=True, callback=addresses, help="Gateways' operators' addresses, HOST:PORT,..."
+)
+
+
+@click.command()
+@at_option
+@as_json
+def verdicts(at: list[Address], json_: bool) -> None:
+    """Show which servers fail for which gateways, as the first of these that answers knows it of all.
+
+    Each gateway judges by itself; nothing is done by what others find yet.
+
+    \b
+    Example:
+      plumwall verdicts --at 127.0.0.1:9601,127.0.0.1:9602
+    """
+    told = next((one for one in asyncio.run(_told(at)) if one.get("started")), None)
+    if told is None:
+        raise WorkFailedError("none of them answers, or none has peers")
+    rows = [_verdict(server, found) for server, found in sorted(told["servers"].items())]
+    say_table(VERDICTS, rows, f"as {told['name']} knows it", json_)
+
+
+def _verdict(server: str, found: list[dict[str, object]]) -> list[object]:
+    zones = sorted({row["zone"] for row in found})
+    who = ", ".join(f"{row['gateway']} ({row['times']})" for row in sorted(found, key=lambda r: r["gateway"]))
+    return [server, len(found), " ".join(zones), who, f"{max(row['ageMs'] for row in found) / 1000:.1f} s"]
+
+
 @click.command()
-@click.option("--at", required=True, callback=addresses, help="Gateways' operators' addresses, HOST:PORT,...")
+@at_option
 @as_json
 def members(at: list[Address], json_: bool) -> None:
     """Show who of a fleet is there, as each of these gateways sees it. 1 if they differ or one is gone.
--- a/plumwall/model/members.py
+++ b/plumwall/model/members.py
@@ -13,6 +13,8 @@
 
 from yewstage.membership.messages import ALIVE, DEAD, LEFT, SUSPECT, Letter, Row, opened, sealed
 from yewstage.membership.swim import Settings, Swim
+from yewstage.shared import tables
+from yewstage.shared.spread import Shared
 
 KEY = b"k" * 32
 HOUR_MS = 3_600_000.0
@@ -24,6 +26,7 @@
 
     number: int
     swim: Swim | None = None
+    shared: Shared | None = None
     lives: int = 0
     stalled_until: float = 0.0  # it runs, and does nothing
     due: float = -1.0  # of the look that is in the queue
@@ -44,7 +47,16 @@
 class Net:
     """All of them."""
 
-    def __init__(self, size: int, seed: int, settings: Settings | None = None, zones: int = 3) -> None:
+    def __init__(
+        self,
+        size: int,
+        seed: int,
+        settings: Settings | None = None,
+        zones: int = 3,
+        tables: tuple[tables.Table, ...] = (),
+    ) -> None:
+        """With tables each member holds them."""
+        self.tables = tables
         self.settings = settings or Settings("fleet")
         self.rng, self.zones = random.Random(seed), zones
         self.seats = [Seat(i) for i in range(size)]
@@ -68,6 +80,9 @@
         me = Row(name or self.name(i), life, f"at:{i}", zone, f"r{i % self.zones // 2}", 1)
         seeds = [f"at:{j}" for j in (0, 1) if j != i]
         seat.swim = Swim(me, self.settings, seeds, random.Random(self.rng.random()), self._clock(i))
+        if self.tables:
+            rng = random.Random(self.rng.random())
+            seat.shared = Shared(seat.swim, self.tables, tables.Settings(), rng, self._clock(i))
         self._look(seat)
 
     def kill(self, i: int) -> None:
@@ -105,6 +120,8 @@
                     continue  # another look was set meanwhile
                 seat.due = -1.0
                 seat.swim.tick(self._clock(i))
+                if seat.shared is not None:
+                    seat.shared.tick(self._clock(i))
             else:
                 self._came(seat, data)
             self._look(seat)
@@ -115,10 +132,15 @@
 
     def _look(self, seat: Seat) -> None:
         out = seat.swim.take()
+        for sender, data in out.carried if seat.shared is not None else ():
+            seat.shared.handle(self._clock(seat.number), sender, data)
+        if out.carried:
+            out.letters += seat.swim.take().letters
         self.found += [(self.now, seat.number, row) for row in out.changes]
         for _, at, letter in out.letters:
             self._send(seat, int(at.partition(":")[2]), letter)
-        due = seat.swim.next_at() - self._clock(seat.number) + self.now
+        due = min(seat.swim.next_at(), seat.shared.next_at() if seat.shared is not None else float("inf"))
+        due += self.now - self._clock(seat.number)
         if due != float("inf") and (seat.due < self.now or due < seat.due):
             seat.due = max(due, self.now)
             self._put(seat.due, seat.number, None)
@@ -170,9 +192,9 @@
         return sum(row.state == state and row.name not in gone for _, _, row in self.found)
 
 
-def fleet(size: int, seed: int, settings: Settings | None = None) -> Net:
+def fleet(size: int, seed: int, tables: tuple[tables.Table, ...] = ()) -> Net:
     """One whose members all know one another."""
-    net = Net(size, seed, settings)
+    net = Net(size, seed, tables=tables)
     for i in range(size):
         net.start(i)
     net.until_agreed(120_000.0)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -204,7 +204,7 @@
         "import sys, yewstage.__main__; from yewstage.net.config import parse; "
         "parse({'listen': 'h:1', 'discovery': 'h:2', 'seed': '1', 'settings': {'grades': "
         "[{'name': 'a', 'objective_ms': 1.0, 'deadline_ms': 2.0, 'effect': 'safe'}]}}); "
-        "sys.exit(bool({'msgspec', 'xxhash', 'yewstage.membership'} & set(sys.modules)))"
+        "sys.exit(bool({'msgspec', 'xxhash', 'yewstage.membership', 'yewstage.shared'} & set(sys.modules)))"
     )
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=False)
     assert done.returncode == 0, done.stderr
@@ -298,3 +298,51 @@
     writer.close()
     return float(text.split(f"\n{figure} ", 1)[1].split("\n", 1)[0])
 
+
+
+ASK = (
+    b"GET /api/%016x HTTP/1.1\r\nHost: o\r\nX-Request-Id: r\r\nX-Class: view\r\nPlan: open\r\n"
+    b"X-Deadline: 4000m\r\nQuota-Info: units=1,spread=1,first=0\r\nConnection: close\r\n\r\n"
+)
+
+
+async def failing(fleet: Fleet, name: str) -> dict[str, set[str]]:
+    """Which servers fail for whom, as one gateway knows it."""
+    told = (await fleet.status(name)).get("servers", {})
+    return {server: {row["gateway"] for row in rows} for server, rows in told.items()}
+
+
+def test_what_one_gateway_finds_of_a_server_all_know_and_forget_when_they_hear_no_more_of_it(
+    tmp_path: Path,
+) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        names, finder = fleet.names, "g2"  # nobody is at the address of its one server
+        reader, writer = await asyncio.open_connection(HOST, fleet.gateways[finder].listen)
+        writer.write(ASK % 1)
+        assert (await reader.read()).startswith(b"HTTP/1.1 503")
+        for name in names:
+            while await failing(fleet, name) != {"s0": {finder}}:
+                await asyncio.sleep(0.02)
+        at = f"{HOST}:{fleet.gateways['g0'].ops}"
+        done = await asyncio.to_thread(run, "plumwall", "verdicts", "--at", at)
+        assert done.returncode == 0 and "s0" in done.stdout and f"{finder} (1)" in done.stdout, done
+
+        fleet.split([finder])
+        rest = [name for name in names if name != finder]
+        for name in rest:
+            while await failing(fleet, name):
+                for row in (await fleet.status(name))["servers"].get("s0", ()):
+                    assert row["ageMs"] <= 10_000  # asserted all the while: older counts as not there
+                await asyncio.sleep(0.02)
+        assert await failing(fleet, finder) == {"s0": {finder}}
+        fleet.heal()
+        for name in rest:
+            while await failing(fleet, name) != {"s0": {finder}}:
+                await asyncio.sleep(0.02)
+        await fleet.gateways[finder].kill()  # another life of it has found nothing
+        await fleet.start(finder)
+        for name in names:
+            while await failing(fleet, name):
+                await asyncio.sleep(0.02)
+
+    with_fleet(tmp_path, 4, scenario, [NEW])
--- a/yewstage/__main__.py
+++ b/yewstage/__main__.py
@@ -23,7 +23,7 @@
 from yewstage.net.ops import Ops
 
 if TYPE_CHECKING:
-    from yewstage.membership.node import Peers
+    from yewstage.net.peers import Peers
 
 log = logging.getLogger(__name__)
 
@@ -143,9 +143,9 @@
     """Where peers are configured: this process among them, with its address, that says nothing yet."""
     if config.peers is None:
         return None
-    from yewstage.membership.node import Peers  # what it needs is paid only where there are some
+    from yewstage.net.peers import Peers  # what it needs is paid only where there are some
 
-    peers = Peers(config.peers, config.name, loop, random.Random(config.seed))
+    peers = Peers(config.peers, config.name, loop, random.Random(config.seed), core.failing)
     log.info(at("members", "hearing members on", await peers.open()))
     core.more_figures = peers.figures
     return peers
--- a/yewstage/membership/__init__.py
+++ b/yewstage/membership/__init__.py
@@ -1,5 +1,5 @@
 """Who of a fleet is there: SWIM with suspicion and local health, over datagrams.
 
-Off in `run` unless `peers` is configured: nothing of it is imported then. `swim` is pure; `node` has the
+Off in `run` unless `peers` is configured: nothing of it is imported then. Pure: `net/peers.py` has the
 socket.
 """
--- a/yewstage/membership/messages.py
+++ b/yewstage/membership/messages.py
@@ -82,7 +82,13 @@
     rows: tuple[Row, ...]
 
 
-Message = Ping | Ack | Ask | Nack | Sync | Page
+class Carried(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Something that stands on membership, of no meaning to it."""
+
+    data: bytes
+
+
+Message = Ping | Ack | Ask | Nack | Sync | Page | Carried
 
 
 class Letter(msgspec.Struct, frozen=True, array_like=True):
@@ -94,18 +100,18 @@
     message: Message
 
 
-_encode = msgspec.msgpack.Encoder().encode
+encode = msgspec.msgpack.Encoder().encode
 _letter = msgspec.msgpack.Decoder(Letter)
 
 
 def size(value: object) -> int:
     """Bytes that a part of a message takes."""
-    return len(_encode(value))
+    return len(encode(value))
 
 
 def sealed(letter: Letter, key: bytes) -> bytes:
     """The datagram: version, seal, letter."""
-    body = bytes((VERSION,)) + _encode(letter)
+    body = bytes((VERSION,)) + encode(letter)
     return body[:1] + _seal(body, key) + body[1:]
 
 
--- a/yewstage/membership/swim.py
+++ b/yewstage/membership/swim.py
@@ -30,6 +30,7 @@
     SUSPECT,
     Ack,
     Ask,
+    Carried,
     Letter,
     Message,
     Nack,
@@ -98,6 +99,7 @@
 
     letters: list[tuple[str, str, Letter]] = field(default_factory=list)
     changes: list[Row] = field(default_factory=list)
+    carried: list[tuple[Row, bytes]] = field(default_factory=list)  # what came for others, with its sender
 
 
 class Swim:
@@ -326,6 +328,8 @@
                 self._on_sync(sender, letter.message)
             case Page():
                 self._on_page(letter.message, now)
+            case Carried():
+                self.out.carried.append((sender, letter.message.data))
 
     def _believed(self, letter: Letter, now: float) -> bool:
         """Whether a letter is no repeat, and of its sender's present life. Who goes by our own name, or by a
@@ -446,6 +450,10 @@
         self.me = me
         self._news[self.me.name] = 0
 
+    def carry(self, to: Row, data: bytes) -> None:
+        """Send something of no meaning to membership; it may be lost, and never comes twice."""
+        self._send(to, Carried(data))
+
     def leave(self, now: float) -> None:
         """Say that we go, to as many as hear of things at first hand; nothing is sent after that."""
         self.me = structs.replace(self.me, incarnation=self.me.incarnation + 1, state=LEFT)
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -218,6 +218,10 @@
             return False
         return self._heard or time.monotonic() - self._started > LIST_WAIT_S
 
+    def failing(self) -> dict[str, int]:
+        """Servers that this gateway finds failing: how often in a row each has."""
+        return self._gateway.failing()
+
     def figures(self) -> str:
         """What operators read."""
         return self.stats.text(self._owed, *self._gateway.rotation(), self._pool.figures(),
--- a/yewstage/membership/node.py
+++ b/yewstage/net/peers.py
@@ -1,4 +1,8 @@
-"""One member on its event loop: datagrams in and out, a timer, what is known for operators."""
+"""This gateway among the others: datagrams in and out, a timer, what is known for operators.
+
+Loaded only where `peers` is configured. Over `membership` go the tables of `shared`: at first one, of the
+servers that each gateway finds failing.
+"""
 
 from __future__ import annotations
 
@@ -7,25 +11,44 @@
 import random
 import secrets
 from collections import Counter
+from collections.abc import Callable, Mapping
+
+import msgspec
 
 from yewstage.log import Event
 from yewstage.membership.config import PeersConfig
 from yewstage.membership.messages import ALIVE, STATES, BadDatagramError, Row, opened, sealed
 from yewstage.membership.swim import Swim
 from yewstage.net.config import Address, address
+from yewstage.shared.spread import Shared
+from yewstage.shared.tables import FullTableError, Settings, Table
 
 log = logging.getLogger(__name__)
 
+# Told by a gateway of a server that fails for it, in a row so often. A gateway that was not heard of for
+# longer than the bound is not counted; more than so many servers at one gateway are its own trouble.
+SERVERS = Table("servers", 10_000.0, 64)
+PUBLISH_MS = 500.0  # spacing of the look at what this gateway finds
+
 
 class Peers(asyncio.DatagramProtocol):
     """This process among the others."""
 
     def __init__(
-        self, config: PeersConfig, name: str, loop: asyncio.AbstractEventLoop, rng: random.Random
+        self,
+        config: PeersConfig,
+        name: str,
+        loop: asyncio.AbstractEventLoop,
+        rng: random.Random,
+        failing: Callable[[], Mapping[str, int]] = dict,
     ) -> None:
+        """`failing`: servers that this gateway finds so, and how often in a row."""
         self.config, self._name, self._loop, self._rng = config, name, loop, rng
+        self._failing = failing
         self.keys = config.keys
         self.swim: Swim | None = None
+        self.shared: Shared | None = None
+        self._publish_at = 0.0
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._addresses: dict[str, Address] = {}
@@ -49,8 +72,10 @@
         host, port = self._transport.get_extra_info("sockname")[:2]
         config = self.config
         me = Row(self._name, secrets.randbits(62), f"{host}:{port}", config.zone, config.region, 1)
-        self.swim = Swim(me, config.settings, config.seeds, self._rng, self._now())
-        self._pump()
+        now = self._now()
+        self.swim = Swim(me, config.settings, config.seeds, self._rng, now)
+        self.shared = Shared(self.swim, (SERVERS,), Settings(), self._rng, now)
+        self._ring()
 
     def leave(self) -> None:
         """Say that we go; what comes after that is not read."""
@@ -91,11 +116,33 @@
         return self._loop.time() * 1000
 
     def _ring(self) -> None:
-        self.swim.tick(self._now())
+        now = self._now()
+        self.swim.tick(now)
+        self._publish(now)
+        self.shared.tick(now)
         self._pump()
 
+    def _publish(self, now: float) -> None:
+        """Bring our own entries to what we find now."""
+        if now < self._publish_at:
+            return
+        self._publish_at = now + PUBLISH_MS
+        found, tables = self._failing(), self.shared.tables
+        for (_, server), change in list(tables.own.entries.items()):
+            if change.value is not None and server not in found:
+                tables.drop(SERVERS.name, server)
+        for server, times in found.items():
+            try:
+                tables.put(SERVERS.name, server, msgspec.msgpack.encode(times))
+            except (FullTableError, ValueError):
+                break  # so many that it is ourselves
+
     def _pump(self) -> None:
         out = self.swim.take()
+        for sender, data in out.carried:
+            self.shared.handle(self._now(), sender, data)
+        if out.carried:
+            out.letters += self.swim.take().letters
         for name, at, letter in out.letters:
             data = sealed(letter, self.keys[0])
             self.sent += 1
@@ -109,7 +156,7 @@
                 log.error(Event("name_used_twice", "another process goes by {name}", name=self._name))
         if self._timer is not None:
             self._timer.cancel()
-        due = self.swim.next_at()
+        due = min(self.swim.next_at(), self.shared.next_at()) if not self.swim.left else float("inf")
         self._timer = self._loop.call_at(due / 1000, self._ring) if due != float("inf") else None
 
     def _where(self, name: str, at: str) -> Address:
@@ -149,8 +196,18 @@
             "sentBytes": self.sent_bytes,
             "dropped": dict(self._drops()),
             "members": sorted(rows, key=lambda row: row["name"]),
+            "servers": self._servers(now),
         }
 
+    def _servers(self, now: float) -> dict[str, list[dict[str, object]]]:
+        """Who finds which server failing, as far as that is known here and new enough."""
+        found: dict[str, list[dict[str, object]]] = {}
+        zones = {row.name: row.zone for row in self.swim.rows()}
+        for told in self.shared.tables.read(SERVERS.name, now):
+            row = {"gateway": told.origin, "zone": zones.get(told.origin, ""), "ageMs": round(told.age_ms)}
+            found.setdefault(told.key, []).append({**row, "times": _times(told.value)})
+        return found
+
     def _drops(self) -> Counter[str]:
         return self.dropped + self.swim.dropped if self.swim is not None else self.dropped
 
@@ -172,8 +229,9 @@
         """By name, as the gateway's figures are told."""
         if self.swim is None:
             return {}
-        swim = self.swim
+        swim, tables, now = self.swim, self.shared.tables, self._now()
         states = Counter(row.state for row in swim.rows())
+        ages = sorted(tables.age_ms(row.name, now) for row in swim.alive()) or [0.0]
         return {
             **{f'members{{state="{STATES[s]}"}}': states[s] for s in range(len(STATES))},
             "members_health": swim.health,
@@ -184,5 +242,23 @@
             "members_sent_total": self.sent,
             "members_sent_bytes_total": self.sent_bytes,
             "members_received_total": self.came,
+            'shared_age_seconds{quantile="0.5"}': _seconds(ages[len(ages) // 2]),
+            'shared_age_seconds{quantile="1"}': _seconds(ages[-1]),
+            "shared_entries": sum(1 for _ in tables.read(SERVERS.name, now)),
+            "shared_bound_bytes": tables.bound_bytes(len(ages) + 1),
+            "shared_refused_total": tables.refused + self.shared.nonsense,
             **{f'members_dropped_total{{reason="{why}"}}': n for why, n in sorted(self._drops().items())},
         }
+
+
+def _times(value: bytes) -> int:
+    """How often in a row a server has failed, as another gateway tells it; 0 where that makes no sense."""
+    try:
+        return msgspec.msgpack.decode(value, type=int)
+    except msgspec.MsgspecError:
+        return 0
+
+
+def _seconds(age_ms: float) -> float:
+    """For a figure: -1 where nothing is known."""
+    return round(age_ms / 1000, 3) if age_ms != float("inf") else -1.0
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -315,6 +315,10 @@
         """How many servers are listed, and how many of these get no ordinary work now."""
         return len(self.hosts), sum(1 for h in self.hosts.values() if not h.up or h.fails)
 
+    def failing(self) -> dict[str, int]:
+        """Listed servers that rest after failures or are tried again: how often in a row each has failed."""
+        return {h.name: h.fails for h in self.hosts.values() if h.up and h.fails}
+
     # --- Retuning ------------------------------------------------------------------------------------------
 
     def _retune(self, settings: api.Settings) -> None:
