Play a scenario with the unchanged module under a virtual clock: plumwall simulate

What the figures of limits, verdicts and zones need: one thing at a time varied, the same play for a seed, in seconds.

--- a/plumwall/cli/main.py
+++ b/plumwall/cli/main.py
@@ -14,6 +14,7 @@
 COMMANDS = {
     "up": "play:up",
     "load": "play:load",
+    "simulate": "simulate:simulate",
     "scenario": "scenario:scenario",
     "gateway": "service:gateway",
     "registry": "service:registry",
--- a/plumwall/cli/play.py
+++ b/plumwall/cli/play.py
@@ -177,7 +177,7 @@
     return command
 
 
-def _changed(
+def changed(
     made: scenarios.Scenario,
     rate: float | None,
     length: float | None,
@@ -212,7 +212,8 @@
     return workers or max(1, round(max(load.rate_per_s, load.to_per_s) / RATE_OF_A_WORKER))
 
 
-def _folder(folder: Path | None, name: str, seed: int) -> Path:
+def run_folder(folder: Path | None, name: str, seed: int) -> Path:
+    """Where a run's files go: what was asked for, which has to be empty, or a folder of its own."""
     made = folder or Path("runs") / f"{name}-{seed}-{time.strftime('%Y%m%dT%H%M%S')}"
     if made.exists() and any(made.iterdir()):
         raise BadFileError(f"--out: {made} is not empty")
@@ -279,15 +280,15 @@
       plumwall up zone-lost --seed 3 --gateways 10 --servers 30 --rate 200
       plumwall up --no-load
     """
-    made = _changed(found(name), rate, length, to_rate, burst, gateways, servers)
+    made = changed(found(name), rate, length, to_rate, burst, gateways, servers)
     count = _client_workers(workers, made.load)
-    run_folder = _folder(folder, made.name, seed)
+    where = run_folder(folder, made.name, seed)
     with Screen(f"{made.name}, seed {seed}", json_) as screen, _exporter(metrics, screen) as exporter:
         run = Run(
             Options(
                 scenario=made,
                 seed=seed,
-                folder=run_folder,
+                folder=where,
                 deploy=deploy,
                 log_format=log_format or TEXT,
                 client_workers=0 if no_load else count,
@@ -300,7 +301,7 @@
         outcome = _play(lambda: _hold(run, screen) if no_load else run.play())
     if no_load:
         return
-    _report(outcome, json_)
+    report(outcome, json_)
 
 
 async def _hold(run: Run, screen: Screen) -> None:
@@ -365,21 +366,21 @@
       plumwall load --at 127.0.0.1:8081,127.0.0.1:8082 --rate 50 --to 500
       plumwall load --at 127.0.0.1:8081 --burst 300 5 2 --json
     """
-    made = _changed(found(name), rate, length, to_rate, burst, gateways=len(at))
+    made = changed(found(name), rate, length, to_rate, burst, gateways=len(at))
     count = _client_workers(workers, made.load)
-    run_folder = _folder(folder, f"load-{made.name}", seed)
+    where = run_folder(folder, f"load-{made.name}", seed)
     with Screen(f"load of {made.name}, seed {seed}", json_) as screen, _exporter(metrics, screen) as exporter:
         run = Run(
-            Options(scenario=made, seed=seed, folder=run_folder, client_workers=count, gateways=at),
+            Options(scenario=made, seed=seed, folder=where, client_workers=count, gateways=at),
             screen.say,
             screen.look,
             exporter,
         )
         outcome = _play(run.play)
-    _report(outcome, json_)
+    report(outcome, json_)
 
 
-def _report(outcome: Outcome | None, json_: bool) -> None:
+def report(outcome: Outcome | None, json_: bool) -> None:
     """Figures and findings; the exit status says whether all is well."""
     if outcome is None:
         raise WorkFailedError("ended before the run was over")
