Torture the members: rounds of kills, stops, cuts and loss on real gateways

Who is there was shown by three tests of fixed faults. A plan of the kind members draws faults by seed for twelve gateways in three zones on links that lose datagrams all the time: SIGKILL, SIGSTOP, SIGTERM, deaf, mute, a zone cut off, a fifth of all lost, late and twice, all killed at once. Looked at all along: whoever is not struck holds nobody dead that is not, and no word of a server is shown that is older than its bound; after each round all agree on who is there, by life. Told: first and last to find out, time until all agree, bytes a second.

--- a/plumwall/cli/torture.py
+++ b/plumwall/cli/torture.py
@@ -13,6 +13,7 @@
 from plumwall.cli.console import BadFileError, as_json, fields, waiting
 from plumwall.faults import torture as work
 from plumwall.faults.keyed import KeyedOutcome, KeyedPlan, KeyedTorture
+from plumwall.faults.members import MembersOutcome, MembersPlan, MembersTorture
 from plumwall.model import explore, places
 from plumwall.model.scenes import SCENES
 
@@ -34,6 +35,7 @@
     Example:
       plumwall torture holding --rounds 200 --seed 7
       plumwall torture keyed --rounds 50
+      plumwall torture members --rounds 50
     """
     try:
         read = work.read_plan(plan)
@@ -44,6 +46,9 @@
         if isinstance(read, KeyedPlan):
             keyed = asyncio.run(KeyedTorture(read, out or Path(folder), seed, say).play(rounds))
             return tell_keyed(plan, seed, keyed, time.monotonic() - began, json_)
+        if isinstance(read, MembersPlan):
+            found = asyncio.run(MembersTorture(read, out or Path(folder), seed, say).play(rounds))
+            return tell_members(plan, seed, found, time.monotonic() - began, json_)
         drawn = work.draw(read, rounds, seed)
         outcome = asyncio.run(work.torture(read, drawn, out or Path(folder), say))
     fields(
@@ -96,6 +101,29 @@
         raise SystemExit(1)
 
 
+def tell_members(plan: str, seed: int, outcome: MembersOutcome, took_s: float, json_: bool) -> None:
+    """What came of rounds on gateways that find out who is there."""
+    fields(
+        {
+            "plan": plan,
+            "seed": seed,
+            "rounds": outcome.rounds,
+            "first to find out, s": spread(outcome.first_s),
+            "last to find out, s": spread(outcome.last_s),
+            "all agree again, s": spread(outcome.agreed_s),
+            "held dead that were there": outcome.false_dead,
+            "looks at all": outcome.looks,
+            "oldest word shown, ms": round(outcome.oldest_ms),
+            "bytes a second of a gateway": round(outcome.bytes_per_s),
+            "took, s": round(took_s, 1),
+            "broken": outcome.breach or "nothing",
+        },
+        json_,
+    )
+    if outcome.breach:
+        raise SystemExit(1)
+
+
 def spread(values: list[float]) -> str:
     """Median, 99th percentile, most, and of how many."""
     if not values:
--- a/plumwall/faults/fleet.py
+++ b/plumwall/faults/fleet.py
@@ -55,7 +55,7 @@
     async def __aexit__(self, *exc: object) -> None:
         for gateway in self.gateways.values():
             if gateway.up():
-                gateway.process.send_signal(signal.SIGCONT)
+                gateway.wake()
                 await gateway.kill()
         for link in self.links.values():
             link.stop()
--- a/plumwall/faults/gateways.py
+++ b/plumwall/faults/gateways.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -24,11 +25,13 @@
         self.name, self.folder, self._raw = name, folder, raw
         self.listen = self.ops = self.members = 0
         self.process: asyncio.subprocess.Process | None = None
+        self._paused = False
         self.lines: list[str] = []
         self._reading: asyncio.Task | None = None
 
     async def start(self) -> None:
         """Start the process; returns once it is ready."""
+        self._paused = False
         path = self._write()
         environ = {**os.environ, "PYTHONPATH": str(ROOT), "ROUTER_CONFIG": str(path.resolve())}
         environ["TMPDIR"] = str(self.folder.resolve())
@@ -66,6 +69,20 @@
         """Whether its process runs."""
         return self.process is not None and self.process.returncode is None
 
+    def runs(self) -> bool:
+        """Whether it is up, and not stopped."""
+        return self.up() and not self._paused
+
+    def pause(self) -> None:
+        """SIGSTOP."""
+        self._paused = True
+        self.process.send_signal(signal.SIGSTOP)
+
+    def wake(self) -> None:
+        """SIGCONT."""
+        self._paused = False
+        self.process.send_signal(signal.SIGCONT)
+
     def set(self, **changes: object) -> None:
         """Other values in the configuration file, for the next start or the next SIGHUP."""
         self._raw = self._raw | changes
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import signal
 import socket
 import subprocess
 import sys
@@ -15,10 +14,13 @@
 from conftest import on_loop
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec import structs
 from test_registry import run
 
 from plumwall.faults.fleet import Fleet
 from plumwall.faults.machines import HOST
+from plumwall.faults.members import MembersOutcome, MembersTorture
+from plumwall.faults.torture import PLANS, read_plan
 from plumwall.model.members import KEY, Net, fleet
 from yewstage.membership.config import peers
 from yewstage.membership.messages import (
@@ -233,10 +235,10 @@
         await fleet.start("g1")
         await fleet.until(names, dict.fromkeys(names, "alive"))
 
-        fleet.gateways["g2"].process.send_signal(signal.SIGSTOP)
+        fleet.gateways["g2"].pause()
         rest = [name for name in names if name != "g2"]
         await fleet.until(rest, {"g2": "dead"})
-        fleet.gateways["g2"].process.send_signal(signal.SIGCONT)
+        fleet.gateways["g2"].wake()
         await fleet.until(names, dict.fromkeys(names, "alive"))
 
         inside = [name for name in names if fleet.zone[name] == "a"]
@@ -346,3 +348,32 @@
                 await asyncio.sleep(0.02)
 
     with_fleet(tmp_path, 4, scenario, [NEW])
+
+
+def test_rounds_of_faults_on_gateways_hold_nobody_dead_that_is_there_and_all_agree_after_each(
+    tmp_path: Path,
+) -> None:
+    plan = read_plan("members")
+    plan = structs.replace(plan, gateways=6, period_ms=200.0)
+    outcome = MembersOutcome()
+
+    async def played() -> None:
+        nonlocal outcome
+        outcome = await MembersTorture(plan, tmp_path, 3, lambda text: None).play(5)
+
+    on_loop(played, 240)
+    assert not outcome.breach and outcome.rounds == 5 and outcome.false_dead == 0, outcome
+    assert len(outcome.agreed_s) == 5 and outcome.first_s and 0 < outcome.oldest_ms <= 10_000
+
+
+def test_a_plan_of_members_names_the_field_that_is_wrong(tmp_path: Path) -> None:
+    path = tmp_path / "bad.toml"
+    text = (PLANS / "members.toml").read_text()
+    for old, new, says in (
+        ("killed = 4.0", "eaten = 4.0", "faults.eaten"),
+        ("loss = 0.02", "loss = 1.5", "loss"),
+        ("gateways = 12", "gateways = 2", "gateways"),
+    ):
+        path.write_text(text.replace(old, new))
+        with pytest.raises(ValueError, match=says):
+            read_plan(str(path))
