--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -28,16 +28,15 @@
                          window_ms=3000)
 UNSAFE = api.RequestClass("pay", aim_ms=1000, deadline_ms=4000, worth=5, effect="unsafe")
 PLAN = api.Plan("basic", rate=2, burst=6)
-CAPPED = api.Plan("capped", rate=5, burst=10, worth=1.4, over_worth=0.2, ceiling_rate=10, ceiling_burst=20,
-                  ceiling_slack=2)
+CAPPED = api.Plan("capped", rate=5, burst=10, worth=1.4, over_worth=0.2, ceiling_rate=10, ceiling_burst=20)
 OPEN = api.Plan("open")
 
 
 def settings(**changes: object) -> api.Settings:
     base = api.Settings(
-        classes=(SAFE, KEYED, UNSAFE), plans=(PLAN, CAPPED, OPEN), fleet_size=3, zone="a", try_limit=4,
+        classes=(SAFE, KEYED, UNSAFE), plans=(PLAN, CAPPED, OPEN), fleet_size=3, try_limit=4,
         cancel=True, retry_after=True, max_retry_after_ms=2000, may_count=True, tick_ms=2,
-        drain_grace_ms=500, cold_from=0.2, cold_ms=10000, fall_multiple=3, tip_after_ms=2000)
+        cold_from=0.2, cold_ms=10000, fall_multiple=3, tip_after_ms=2000)
     return dataclasses.replace(base, **changes)
 
 
--- a/tests/test_odd_events.py
+++ b/tests/test_odd_events.py
@@ -18,7 +18,7 @@
                          worth=r.choice([0, 1, 5]), late_worth=r.choice([0, 0.5]),
                          effect=r.choice(["safe", "keyed", "unsafe"]),
                          key_scope=r.choice(["all", "zone", "cell"]),
-                         window_ms=r.choice([0, 100, 3000]), stream=r.random() < 0.3) for i in range(3))
+                         window_ms=r.choice([0, 100, 3000])) for i in range(3))
     plans = tuple(
         api.Plan(f"p{i}", rate=r.choice([0, 0.01, 2, 50]), burst=r.choice([0, 1, 6]),
                  parallel=r.choice([0, 2]), over_worth=r.choice([0, 0.5]),
@@ -58,9 +58,7 @@
         if r.random() < 0.4:
             return api.Claimed(r.choice(ids), r.choice(["yours", "done", "held", "silent"]))
         return r.choice([api.ClientLeft(r.choice(ids)), api.StreamStarted(r.choice(ids), 0),
-                         api.TimerDue("old"), api.ProbeReply("h0", api.OK, 1.0, {"x9": -1.0}),
-                         api.ProbeReply("zz", api.TIMED_OUT, 1e9), api.PeerMessage(1, b"x"),
-                         api.PeerMessage(-1, b""), api.PeerMessage(10**6, bytes(256))])
+                         api.TimerDue("old")])
     return api.TimerDue("sweep")
 
 
--- a/yewstage/interface.py
+++ b/yewstage/interface.py
@@ -25,7 +25,6 @@
     effect: str = "safe"  # safe, keyed, unsafe
     key_scope: str = "all"  # all, zone, cell
     window_ms: float = 0.0  # how long hosts remember a key
-    stream: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -40,7 +39,6 @@
     over_cost: float = 0.0
     ceiling_rate: float = 0.0  # units a second; 0: no ceiling
     ceiling_burst: float = 0.0
-    ceiling_slack: float = 0.0
     parallel: int = 0  # attempts out at once; 0: no such quota
 
 
@@ -52,23 +50,16 @@
     plans: tuple[Plan, ...] = ()
     me: int = 0
     fleet_size: int = 1
-    zone: str = ""
     try_limit: int = 1
     second_copies: bool = False
     cancel: bool = False
     retry_after: bool = False
     marks_retry: bool = False  # clients mark their retries: what is not marked is a first try
     max_retry_after_ms: float = 0.0
-    probing: bool = False
-    peers: bool = False
     must_ask: bool = False  # the list of servers comes only on request
     may_count: bool = False
     count_wait_ms: float = 50.0
-    trued_up: bool = False
-    use_period_ms: float = 0.0
     tick_ms: float = 1.0
-    answer_slack_ms: float = 0.0
-    drain_grace_ms: float = 0.0
     cold_from: float = 1.0
     cold_ms: float = 0.0
     fall_multiple: float = 1.0
@@ -93,7 +84,7 @@
             if c.key_scope not in ("all", "zone", "cell"):
                 raise ValueError(f"classes[{c.name}].key_scope: {c.key_scope!r} is not all, zone or cell")
         for p in self.plans:
-            for name in ("rate", "burst", "ceiling_rate", "ceiling_burst", "ceiling_slack", "parallel"):
+            for name in ("rate", "burst", "ceiling_rate", "ceiling_burst", "parallel"):
                 if getattr(p, name) < 0:
                     raise ValueError(f"plans[{p.name}].{name}: must not be negative")
         for name in ("cold_ms", "fall_multiple", "tip_after_ms", "tick_ms", "try_limit", "handshake",
@@ -152,7 +143,6 @@
     result: str
     took_ms: float
     final: bool
-    use_percent: float = 0.0  # 1 + the customer's metered use; 0: not told
     true_units: float = 0.0  # 0: not told
     report: dict[str, float] = field(default_factory=dict)  # of its load: util, inflight, queue, or some
     unbegun: bool = False  # no byte of it has left: a body that is not kept is still whole
@@ -198,24 +188,6 @@
     took_ms: float = 0.0
 
 
-@dataclass(slots=True, frozen=True)
-class ProbeReply:
-    """What one Probe found."""
-
-    server: str
-    result: str
-    took_ms: float
-    report: dict[str, float] = field(default_factory=dict)
-
-
-@dataclass(slots=True, frozen=True)
-class PeerMessage:
-    """A message from another gateway."""
-
-    sender: int
-    data: bytes
-
-
 @dataclass(slots=True, frozen=True)
 class Claimed:
     """What one Claim came to: 'yours', 'done' (with an answer that is known), 'held' (another request has the
@@ -333,5 +305,5 @@
 
 
 Event = (ServerList | Request | Outcome | StreamStarted | Uploaded | ClientLeft | TimerDue | CountReply
-         | ProbeReply | PeerMessage | Claimed | Retuned | TakenOver | PredecessorGone)
+         | Claimed | Retuned | TakenOver | PredecessorGone)
 Action = Send | Refuse | Fail | Claim | Release | Recall | Cancel | Timer | Count | Subscribe | Log
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -242,7 +242,7 @@
             case api.PredecessorGone():
                 for use in self.uses.values():
                     use.elsewhere = 0
-            case api.TimerDue() | api.ProbeReply() | api.PeerMessage():
+            case api.TimerDue():
                 pass
             case _:
                 raise TypeError(f"not an event of yewstage.interface: {event!r}")
--- a/yewstage/wire.py
+++ b/yewstage/wire.py
@@ -33,6 +33,11 @@
     """The instance was killed."""
 
 
+@dataclass(slots=True)
+class Ignored:
+    """A message that tells the module nothing on which it acts; it is read, so that a wrong one is found."""
+
+
 def number(text: str) -> float:
     """A finite number; '-' is absent and reads as 0."""
     if text == "-":
@@ -105,8 +110,7 @@
             name=pairs.get(f"grades.{i}.name", ""), aim_ms=num(f"grades.{i}.objective_ms"),
             deadline_ms=num(f"grades.{i}.deadline_ms"), worth=num(f"grades.{i}.worth", 1.0),
             late_worth=num(f"grades.{i}.late_worth"), effect=pairs.get(f"grades.{i}.effect", "safe"),
-            key_scope=pairs.get(f"grades.{i}.key_scope", "all"), window_ms=num(f"grades.{i}.window_ms"),
-            stream=yes(f"grades.{i}.stream"))
+            key_scope=pairs.get(f"grades.{i}.key_scope", "all"), window_ms=num(f"grades.{i}.window_ms"))
         for i in range(int(num("grades.count"))))
     plans = tuple(
         api.Plan(
@@ -114,20 +118,17 @@
             burst=num(f"packages.{i}.burst"), worth=num(f"packages.{i}.worth_factor", 1.0),
             over_worth=num(f"packages.{i}.over_worth"), over_cost=num(f"packages.{i}.over_cost"),
             ceiling_rate=num(f"packages.{i}.ceiling_rate"), ceiling_burst=num(f"packages.{i}.hard_burst"),
-            ceiling_slack=num(f"packages.{i}.tolerance"), parallel=int(num(f"packages.{i}.parallel")))
+            parallel=int(num(f"packages.{i}.parallel")))
         for i in range(int(num("packages.count"))))
     return api.Settings(
         classes=classes, plans=plans, me=int(num("me")), fleet_size=int(num("fleet_size", 1)),
-        zone=pairs.get("zone", ""), try_limit=int(num("bounds.try_limit", 1)),
+        try_limit=int(num("bounds.try_limit", 1)),
         second_copies=yes("bounds.second_copies"), cancel=yes("bounds.cancel"),
         retry_after=yes("bounds.retry_after"), max_retry_after_ms=num("bounds.max_retry_after_ms"),
         marks_retry=yes("clients.marks_retry"),
-        probing=yes("bounds.probing"), peers=yes("bounds.peers"),
         must_ask=pairs.get("membership_mode", "pushed") == "on_request",
         may_count=yes("family_info.may_count"), count_wait_ms=num("family_info.count_wait_ms", 50.0),
-        trued_up=yes("family_info.trued_up"), use_period_ms=num("family_info.use_period_ms"),
-        tick_ms=num("tick_ms", 1.0), answer_slack_ms=num("rules.answer_slack_ms"),
-        drain_grace_ms=num("rules.stop_sending_within_ms"), cold_from=num("rules.cold_from", 1.0),
+        tick_ms=num("tick_ms", 1.0), cold_from=num("rules.cold_from", 1.0),
         cold_ms=num("rules.cold_ms"), fall_multiple=num("rules.fall_multiple", 1.0),
         tip_after_ms=num("rules.tip_after_ms"), handshake=num("penalties.handshake"),
         idle_ms=num("bounds.conn_idle_ms", 15000.0))
@@ -152,15 +153,23 @@
 
 
 def _outcome(f: list[str]) -> api.Outcome:
+    number(f[6])  # the customer's use, in which the module takes no interest
     return api.Outcome(f[0], integer(f[1]), f[2], one_of(RESULTS, f[3]), number(f[4]), flag(f[5]),
-                       number(f[6]), number(f[7]), report(f[8]))
+                       number(f[7]), report(f[8]))
 
 
-def _peer(f: list[str]) -> api.PeerMessage:
+def _peer(f: list[str]) -> Ignored:
     try:
-        return api.PeerMessage(integer(f[0]), bytes.fromhex("" if f[1] == "-" else f[1]))
+        bytes.fromhex("" if f[1] == "-" else f[1])
     except ValueError:
         raise WireError(f"bad bytes {f[1]!r}") from None
+    integer(f[0])
+    return Ignored()
+
+
+def _probe(f: list[str]) -> Ignored:
+    number(f[0]), one_of(RESULTS, f[2]), report(f[3])
+    return Ignored()
 
 
 # Message name: number of values after the instance (None: any), and how to read them.
@@ -170,7 +179,7 @@
     "ENDED": (9, _outcome),
     "INBOX": (2, _peer),
     "DETACH": (0, lambda f: Close()),
-    "PROBE_DONE": (4, lambda f: api.ProbeReply(f[1], one_of(RESULTS, f[2]), number(f[0]), report(f[3]))),
+    "PROBE_DONE": (4, _probe),
     "CLIENT_LEFT": (1, lambda f: api.ClientLeft(f[0])),
     "HEAD_RECEIVED": (4, lambda f: api.StreamStarted(f[0], integer(f[1]), number(f[3]))),
     "TICK_DUE": (1, lambda f: api.TimerDue(f[0])),
--- a/yewstage/wirehost.py
+++ b/yewstage/wirehost.py
@@ -96,7 +96,7 @@
                 self.gateways.pop(instance, None)
                 return []
             gateway = self.gateways.get(instance)
-            if gateway is None:
+            if gateway is None or isinstance(event, wire.Ignored):
                 return []
             return [wire.action(instance, act) for act in gateway.handle(now_ms, event)]
         except Exception as error:  # the module broke: say so on the wire
