Spend quotas out of shares that the holding grants: over by 0, or by a stated floor

Where a quota hangs on the counter alone, gateways go by estimates when it is silent, with no bound stated anywhere. A plan may now be strict or bounded, by a setting that defaults to off; nothing of it is loaded then.

Design: yewstage/holding/accounts.py, pure, beside the keys in their groups. An account is the customer's store; a share is taken out of it before a gateway may spend it and counts as granted until its time is over by the leader's clock; account and shares together never exceed the burst. The gateway's time runs from when it asked. A question has a serial: asked again it is granted once, overtaken it is granted nothing, and it ends that gateway's shares before it. Every decision of the gateway is the module's, by the events it had: a Count with a plan asks, its reply grants. plumwall limits; torture shares.

Not taken: granting by the counter's totals (no durable write stands behind them, so no 0 can be promised); counters that reconcile afterwards (a bound only by trust in links); a share that lasts until it is given back (a lost gateway's would be gone for good).

--- a/benchmarks/holding.py
+++ b/benchmarks/holding.py
@@ -27,19 +27,18 @@
 async def until_done(client: Client, method: str, path: str, body: dict[str, object]) -> Told:
     """One write, asked again while no leader says yes: that time counts, too."""
     while (told := await client.call(method, path, body)).status == 503:
-        print(f"asked again: {told.body['error']}", flush=True)
         await asyncio.sleep(0.02)
     assert told.status == 200, told
     return told
 
 
-async def writes(clients: list[Client], seconds: float) -> tuple[float, list[float]]:
-    """Writes a second, and what each took, ms."""
+async def writes(clients: list[Client], seconds: float, first: int = 0) -> tuple[float, list[float]]:
+    """Writes a second, and what each took, ms; lives are numbered behind `first`, for no life goes back."""
     took: list[float] = []
     until = time.perf_counter() + seconds
 
     async def one(client: Client, writer: int) -> None:
-        number = 0
+        number = first
         while time.perf_counter() < until:
             number += 1
             began = time.perf_counter()
@@ -122,7 +121,7 @@
 
         looking, done, began = asyncio.create_task(look()), 0, time.perf_counter()
         while done < options.writes:
-            done += len((await writes(clients, 5.0))[1])
+            done += len((await writes(clients, 5.0, done))[1])
         took_s = time.perf_counter() - began
         looking.cancel()
         status = await machines.whole()
--- a/plumwall/cli/main.py
+++ b/plumwall/cli/main.py
@@ -26,6 +26,7 @@
     "holding": "holding:holding",
     "members": "members:members",
     "verdicts": "members:verdicts",
+    "limits": "limits:limits",
     "torture": "torture:torture",
     "check-model": "torture:check_model",
     "config": "check:config",
--- a/plumwall/cli/torture.py
+++ b/plumwall/cli/torture.py
@@ -14,6 +14,7 @@
 from plumwall.faults import torture as work
 from plumwall.faults.keyed import KeyedOutcome, KeyedPlan, KeyedTorture
 from plumwall.faults.members import MembersOutcome, MembersPlan, MembersTorture
+from plumwall.faults.shares import SharesOutcome, SharesPlan, SharesTorture
 from plumwall.model import explore, places
 from plumwall.model.scenes import SCENES
 
@@ -49,6 +50,9 @@
         if isinstance(read, MembersPlan):
             found = asyncio.run(MembersTorture(read, out or Path(folder), seed, say).play(rounds))
             return tell_members(plan, seed, found, time.monotonic() - began, json_)
+        if isinstance(read, SharesPlan):
+            spent = asyncio.run(SharesTorture(read, out or Path(folder), seed, say).play(rounds))
+            return tell_shares(plan, seed, read, spent, time.monotonic() - began, json_)
         drawn = work.draw(read, rounds, seed)
         outcome = asyncio.run(work.torture(read, drawn, out or Path(folder), say))
     fields(
@@ -124,6 +128,31 @@
         raise SystemExit(1)
 
 
+def tell_shares(
+    plan: str, seed: int, read: SharesPlan, outcome: SharesOutcome, took_s: float, json_: bool
+) -> None:
+    """What came of rounds on gateways that spend shares of a quota."""
+    fields(
+        {
+            "plan": f"{plan}, {read.mode}",
+            "seed": seed,
+            "rounds": outcome.rounds,
+            "served": outcome.served,
+            "refused": outcome.refused,
+            "units over the bound, at most": round(outcome.over, 1),
+            "units beyond the quota, at most": round(outcome.beyond, 1),
+            "floors allowed, in all": outcome.floors,
+            "part of the quota used": round(outcome.used, 3),
+            "the same without a fault": spread(outcome.quiet),
+            "took, s": round(took_s, 1),
+            "broken": outcome.breach or "nothing",
+        },
+        json_,
+    )
+    if outcome.breach:
+        raise SystemExit(1)
+
+
 def spread(values: list[float]) -> str:
     """Median, 99th percentile, most, and of how many."""
     if not values:
--- a/plumwall/faults/torture.py
+++ b/plumwall/faults/torture.py
@@ -25,6 +25,7 @@
 from plumwall.faults.linear import NEVER, Call, UndecidedError, breach
 from plumwall.faults.machines import HOST, ZONES, Machine, Machines
 from plumwall.faults.members import MembersPlan
+from plumwall.faults.shares import SharesPlan
 from yewstage.holding.kinds import LIST
 from yewstage.holding.places import name_of
 from yewstage.registry.client import Client, Duty, SilentError, Told
@@ -69,12 +70,13 @@
 DRIFT = 0.008  # by which the clock of one holder of the duty is slow, and the other's fast; 0.01 is allowed
 
 
-def read_plan(name: str) -> Plan | KeyedPlan | MembersPlan:
+def read_plan(name: str) -> Plan | KeyedPlan | MembersPlan | SharesPlan:
     """A plan by its name or path; ValueError names the field."""
     path = Path(name) if name.endswith(".toml") else PLANS / f"{name}.toml"
     try:
-        plan = msgspec.convert(tomllib.loads(path.read_text()), Plan | KeyedPlan | MembersPlan)
-        if isinstance(plan, MembersPlan):
+        kinds = Plan | KeyedPlan | MembersPlan | SharesPlan
+        plan = msgspec.convert(tomllib.loads(path.read_text()), kinds)
+        if isinstance(plan, MembersPlan | SharesPlan):
             plan.check()
     except (OSError, ValueError) as error:  # of TOML and of fields, too
         raise ValueError(f"{path}: {error}") from None
--- a/yewstage/holding/calls.py
+++ b/yewstage/holding/calls.py
@@ -9,6 +9,7 @@
 import msgspec
 from msgspec import structs
 
+from yewstage.holding.accounts import LIFE_MS, Ask
 from yewstage.holding.keys import DONE, Keys, claiming
 from yewstage.holding.kinds import KEYED, LIST, MOST_KEYED, PLACES, group_of, names
 from yewstage.holding.ledger import Copied
@@ -22,11 +23,13 @@
 from yewstage.registry.config import NAME, Fields
 from yewstage.registry.ledger import ElsewhereError, LaterError
 from yewstage.registry.server import failed, malformed, misdirected, said
-from yewstage.registry.store import RefusedError
+from yewstage.registry.store import Entry, RefusedError
 
 FORGET_S = 0.2  # spacing of the look for keys whose window is over
 LONGEST_ANSWER = 16 * 1024  # of a keyed request, as base64: what is longer is remembered as done only
 MOST_WINDOW_MS = 3_600_000.0
+# Calls that go to the group of their key, and what they may ask of it.
+BY_KEY = {"/v1/keys/": ("claim", "done", "release"), "/v1/shares/": ("take", "show")}
 
 
 class _Named(msgspec.Struct, forbid_unknown_fields=True):
@@ -58,8 +61,9 @@
 
     def handle(self, call: Call, caller: Caller) -> Answer | None:
         """One call; None if it is answered later."""
-        if call.path.startswith("/v1/keys/"):
-            return self._keyed(call, caller)
+        for prefix, verbs in BY_KEY.items():
+            if call.path.startswith(prefix):
+                return self._keyed(call, caller, prefix, verbs)
         verb = call.path.removeprefix("/v1/holding/")
         calls = {
             "status": ("GET", self._status),
@@ -265,11 +269,12 @@
         stores = [ledger.store for ledger in self._replicas.all.values()]
         return sum(len(store.records) for store in stores if isinstance(store, Keys))
 
-    def _keyed(self, call: Call, caller: Caller) -> Answer | None:
-        key, _, verb = call.path.removeprefix("/v1/keys/").partition("/")
+    def _keyed(self, call: Call, caller: Caller, prefix: str, verbs: tuple[str, ...]) -> Answer | None:
+        """A call that goes to the group of its key."""
+        key, _, verb = call.path.removeprefix(prefix).partition("/")
         keyed = sum(p.group.startswith(KEYED) for p in self._replicas.table.placed)
-        if call.method != "POST" or verb not in ("claim", "done", "release"):
-            return failed(405 if verb in ("claim", "done", "release") else 404, "no such call")
+        if call.method != "POST" or verb not in verbs:
+            return failed(405 if verb in verbs else 404, "no such call")
         if not NAME.fullmatch(key):
             return failed(400, "must be 1 to 64 letters, digits, dots, colons, dashes and underlines", "key")
         if not keyed:
@@ -280,11 +285,11 @@
             at = ledger.leader() if ledger is not None else self._replicas.leader_of(group)
             return misdirected(ElsewhereError(at)) if at else failed(503, "no leader is known")
         try:
-            fields = Fields(msgspec.json.decode(call.body, type=dict[str, object]))
-            by = fields.text("by", 128)
-            work = {"claim": self._claim, "done": self._done, "release": self._release}[verb](
-                ledger, key, by, fields
-            )
+            fields = Fields(msgspec.json.decode(call.body or b"{}", type=dict[str, object]))
+            work = {
+                "claim": self._claim, "done": self._done, "release": self._release, "take": self._take,
+                "show": self._show,
+            }[verb](ledger, key, fields)
         except msgspec.MsgspecError as error:
             return failed(400, str(error), "body")
         except ConfigError as error:
@@ -292,7 +297,38 @@
         self._spawn(self._told(caller, work))
         return None
 
-    def _claim(self, ledger: Copied, key: str, by: str, fields: Fields) -> Callable[[], Coroutine]:
+    def _take(self, ledger: Copied, key: str, fields: Fields) -> Callable[[], Coroutine]:
+        """A share of a customer's quota, before any of it may be spent."""
+        ask = Ask(
+            fields.text("by", 128), fields.whole("serial", None, 0), fields.number("rate", None, 1e-6),
+            fields.number("burst", None, 0.0), fields.number("want", None, 0.0),
+            fields.number("least", None, 0.0), fields.number("lifeMs", None, *LIFE_MS),
+        )
+        fields.done()
+        granted = [0.0]
+
+        def plan(store: Keys, now: float) -> Entry | None:
+            entry, granted[0] = store.accounts.plan_take(key, ask, now)
+            return entry
+
+        async def take() -> dict[str, object]:
+            await ledger.write(plan)
+            return {"units": granted[0]}
+
+        return take
+
+    def _show(self, ledger: Copied, key: str, fields: Fields) -> Callable[[], Coroutine]:
+        """An account as of now or later."""
+        fields.done()
+
+        async def show() -> dict[str, object]:
+            await ledger.confirm()
+            return {"account": ledger.live().accounts.told(key, ledger.now()) if ledger.live() else None}
+
+        return show
+
+    def _claim(self, ledger: Copied, key: str, fields: Fields) -> Callable[[], Coroutine]:
+        by = fields.text("by", 128)
         window_ms = fields.number("windowMs", None, 1.0, MOST_WINDOW_MS)
         fields.done()
         told: dict[str, object] = {}
@@ -303,7 +339,8 @@
 
         return claim
 
-    def _done(self, ledger: Copied, key: str, by: str, fields: Fields) -> Callable[[], Coroutine]:
+    def _done(self, ledger: Copied, key: str, fields: Fields) -> Callable[[], Coroutine]:
+        by = fields.text("by", 128)
         status = fields.whole("status", None, 100, 599)
         answer = fields.text("answer", LONGEST_ANSWER) if fields.has("answer") else ""
         fields.done()
@@ -314,7 +351,8 @@
 
         return done
 
-    def _release(self, ledger: Copied, key: str, by: str, fields: Fields) -> Callable[[], Coroutine]:
+    def _release(self, ledger: Copied, key: str, fields: Fields) -> Callable[[], Coroutine]:
+        by = fields.text("by", 128)
         fields.done()
 
         async def release() -> dict[str, object]:
@@ -323,6 +361,13 @@
 
         return release
 
+    def accounts(self) -> tuple[int, float]:
+        """Accounts kept here, and units granted of those that are led here."""
+        here = [(ledger, ledger.store) for ledger in self._replicas.all.values()]
+        held = [(ledger, store.accounts) for ledger, store in here if isinstance(store, Keys)]
+        led = [sum(accounts.granted(ledger.now())) for ledger, accounts in held if ledger.group.leads()]
+        return sum(len(accounts.all) for _, accounts in held), sum(led)
+
     async def forget(self) -> None:
         """As long as groups of keys are led here, let go what is past its window."""
         while True:
--- a/yewstage/holding/keys.py
+++ b/yewstage/holding/keys.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from yewstage.holding.accounts import Accounts
 from yewstage.registry.store import Entry, RefusedError, Rules
 
 BEGUN, DONE = "begun", "done"
@@ -54,9 +55,10 @@
 
 
 class Keys:
-    """The store of a group that holds keys."""
+    """The store of a group that holds keys, and accounts of customers' quotas."""
 
     def __init__(self, rules: Rules | None = None) -> None:
+        self.accounts = Accounts((rules or Rules()).drift)
         self.records: dict[str, Keyed] = {}
         self._ends: dict[str, float] = {}  # when each may be forgotten
         self.kept = 0  # bytes of answers
@@ -96,7 +98,8 @@
     def plan_forget(self, now: float) -> Entry | None:
         """Let go what is past its window."""
         late = [key for key, end in self._ends.items() if end <= now][:BATCH]
-        return {"op": "forget", "keys": late} if late else None
+        accounts = self.accounts.plan_forget(now)
+        return {"op": "forget", "keys": late, "accounts": accounts} if late or accounts else None
 
     def _held(self, key: str, by: str) -> Keyed:
         known = self.records.get(key)
@@ -106,9 +109,13 @@
 
     def apply(self, entry: Entry, now: float) -> None:
         """Bring an entry about."""
+        if entry["op"] == "take":
+            self.accounts.take(entry, now)
+            return
         if entry["op"] == "forget":
             for key in entry["keys"]:
                 self._drop(key)
+            self.accounts.forget(entry.get("accounts", []))
             return
         self._drop(entry["key"])
         self._put(entry["key"], Keyed(*entry["record"]), now)
@@ -126,7 +133,7 @@
 
     def snapshot(self) -> Entry:
         """All of it; records are encoded as they are, for there may be many."""
-        return {"keys": dict(self.records)}
+        return {"keys": dict(self.records), "accounts": self.accounts.snapshot()}
 
     @classmethod
     def restored(cls, rules: Rules, state: Entry, now: float) -> Keys:
@@ -134,4 +141,5 @@
         store = cls(rules)
         for key, raw in state["keys"].items():
             store._put(key, raw if isinstance(raw, Keyed) else Keyed(*raw), now)
+        store.accounts.restore(state.get("accounts", {}), now)  # folders of earlier versions have none
         return store
--- a/yewstage/holding/node.py
+++ b/yewstage/holding/node.py
@@ -9,7 +9,7 @@
 
 from msgspec import structs
 
-from yewstage.holding.calls import Calls
+from yewstage.holding.calls import BY_KEY, Calls
 from yewstage.holding.config import HoldingConfig
 from yewstage.holding.identity import Folder
 from yewstage.holding.kinds import LIST
@@ -165,7 +165,7 @@
     # --- Calls --------------------------------------------------------------------------------------------
 
     def _call(self, call: Call, caller: Caller) -> Answer | None:
-        if call.path.startswith(("/v1/holding/", "/v1/keys/")):
+        if call.path.startswith(("/v1/holding/", *BY_KEY)):
             return self.calls.handle(call, caller)
         return self.registry.handle(call, caller)
 
@@ -174,6 +174,7 @@
     def figures(self) -> list[Metric]:
         """What operators read, beside the list service's."""
         replicas, links = self.replicas, self._links.values()
+        accounts, granted = self.calls.accounts()
         here = {group: ledger for group, ledger in replicas.all.items() if replicas.begun(group)}
         held = {group: ledger.group.replica for group, ledger in here.items()}
 
@@ -196,6 +197,8 @@
             ),
             gauge("holding_table_epoch", "of the places that are known here", replicas.table.epoch),
             gauge("holding_keys", "kept here, of keyed requests", self.calls.keys()),
+            gauge("holding_accounts", "kept here, of customers' quotas", accounts),
+            gauge("holding_granted_units", "in shares of accounts led here", granted),
             gauge(
                 "holding_disk_full",
                 "whether writes to the disk fail",
--- a/yewstage/interface.py
+++ b/yewstage/interface.py
@@ -40,6 +40,9 @@
     ceiling_rate: float = 0.0  # units a second; 0: no ceiling
     ceiling_burst: float = 0.0
     parallel: int = 0  # attempts out at once; 0: no such quota
+    shares: bool = False  # its quota is spent out of shares that are granted to one gateway each, and only so
+    floor: float = 0.0  # units that a gateway which hears nobody may spend besides, once
+    floor_ms: float = 0.0  # and for how long
 
 
 @dataclass(slots=True, frozen=True)
@@ -285,11 +288,13 @@
 
 @dataclass(slots=True, frozen=True)
 class Count:
-    """Add an amount to a shared count and learn its total."""
+    """Add to a shared count and learn its total; with a plan: have a share granted, learn its units."""
 
     name: str
     amount: float
     keep_ms: float
+    plan: str = ""  # of the share
+    least: float = 0.0  # units under which a share is of no use
 
 
 @dataclass(slots=True, frozen=True)
--- a/yewstage/net/config.py
+++ b/yewstage/net/config.py
@@ -119,7 +119,8 @@
     """The object of the file as a `Config`."""
     links = _links(_object(raw, "settings"))
     settings = _settings(dict(_flatten("", _object(raw, "settings"))))
-    settings = dataclasses.replace(settings, record=raw.get("holding") is not None)
+    settings = dataclasses.replace(settings, record=raw.get("holding") is not None,
+                                   plans=_shares(raw, settings.plans))
     counter = raw.get("counter")
     if settings.may_count and not counter:
         raise ConfigError("counter: is missing, though the settings allow calls")
@@ -165,6 +166,35 @@
     return tuple(address({f"{field}[{i}]": at}, f"{field}[{i}]") for i, at in enumerate(value))
 
 
+def _shares(raw: Mapping[str, object], plans: tuple[api.Plan, ...]) -> tuple[api.Plan, ...]:
+    """The plans, those whose quota is spent out of shares marked so."""
+    modes = raw.get("shares")
+    if modes is None:
+        return plans
+    if not isinstance(modes, dict):
+        raise ConfigError("shares: must be an object of plans")
+    if raw.get("holding") is None:
+        raise ConfigError("shares: there is no holding that could grant any")
+    known = {plan.name: plan for plan in plans}
+    for name, mode in modes.items():
+        if name not in known or known[name].rate <= 0:
+            raise ConfigError(f"shares.{name}: no such plan, or it has no quota")
+        known[name] = dataclasses.replace(known[name], shares=True, **_floor(f"shares.{name}", mode))
+    return tuple(known.values())
+
+
+def _floor(field: str, mode: object) -> dict[str, float]:
+    """What a gateway that hears nobody may spend: nothing in `strict`, so much for so long in `bounded`."""
+    if not isinstance(mode, dict) or mode.get("mode") not in ("strict", "bounded"):
+        raise ConfigError(f"{field}.mode: must be strict or bounded")
+    wanted = {"floor", "floor_ms"} if mode["mode"] == "bounded" else set()
+    for key in sorted(set(mode) - {"mode"} ^ wanted):
+        raise ConfigError(f"{field}.{key}: {'is missing' if key in wanted else 'is no field of this'}")
+    for key in sorted(wanted):
+        _above_zero(mode[key], f"{field}.{key}")
+    return {key: float(mode[key]) for key in wanted}
+
+
 def _peers(raw: Mapping[str, object]) -> PeersConfig | None:
     if raw.get("peers") is None:
         return None
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -28,6 +28,8 @@
 
 if TYPE_CHECKING:
     from yewstage.net.keyed import Held, Record
+    from yewstage.net.lanes import Lanes
+    from yewstage.net.shares import Shares
 
 log = logging.getLogger(__name__)
 
@@ -136,7 +138,9 @@
         self._counter = (Counter(loop, config.counter, config.settings.count_wait_ms, self._post,
                                  uses["counter"])
                          if config.counter is not None else None)
-        self._record = self._recorded(config) if config.holding else None
+        self._config = config
+        self._record = self._recorded() if config.holding else None
+        self._shares: Shares | None = None  # made when the first one is asked for
         self._known = config.known
         self._requests: dict[str, _Open] = {}
         self._claims: dict[str, Held] = {}  # by request, where there is a record
@@ -152,11 +156,28 @@
         self.draining = False
         self.shared = False  # with another process: each has half of the descriptors
 
-    def _recorded(self, config: Config) -> Record:
+    def _recorded(self) -> Record:
         from yewstage.net.keyed import Record  # what it needs is paid only where there is one
 
-        use = self.stats.descriptors.uses["record"] = Use(self.stats.descriptors)
-        return Record(self._loop, config.holding, config.name, use, random.Random(config.seed))
+        return Record(self._loop, self._lanes("record"), self._config.name)
+
+    def _lanes(self, use: str) -> Lanes:
+        from yewstage.net.lanes import Lanes
+
+        held = self.stats.descriptors.uses[use] = Use(self.stats.descriptors)
+        return Lanes(self._config.holding, random.Random(self._config.seed), held)
+
+    def _share(self, act: api.Count) -> None:
+        """Units of a customer's quota that this gateway alone may spend."""
+        if self._shares is None:
+            from yewstage.net.shares import Shares
+
+            self._shares = Shares(self._loop, self._lanes("shares"), self._config.name)
+        plan = next((plan for plan in self.settings.plans if plan.name == act.plan), None)
+        if plan is None:  # it was retuned away meanwhile
+            self._post(api.CountReply(act.name, api.TIMED_OUT, 0.0))
+        else:
+            self._shares.take(act, plan, self._post)
 
     # --- Life ---------------------------------------------------------------------------------------------
 
@@ -209,8 +230,9 @@
         self._pool.stop()
         if self._counter is not None:
             self._counter.stop()
-        if self._record is not None:
-            self._record.stop()
+        for part in (self._record, self._shares):
+            if part is not None:
+                part.stop()
 
     def ready(self) -> bool:
         """Whether requests can be served: hosts are known, by discovery's word if it speaks at all."""
@@ -226,7 +248,7 @@
         """What operators read."""
         return self.stats.text(self._owed, *self._gateway.rotation(), self._pool.figures(),
                                self._body_figures(), self._ramp_figures(),
-                               self._record.figures() if self._record is not None else {},
+                               *(part.figures() for part in (self._record, self._shares) if part is not None),
                                self.more_figures())
 
     def _ramp_figures(self) -> dict[str, float]:
@@ -544,6 +566,8 @@
                 self._cancel(act)
             case api.Timer():
                 self._loop.call_later(max(act.in_ms, 0.0) / 1000, self._post, api.TimerDue(act.name))
+            case api.Count() if act.plan:
+                self._share(act)
             case api.Count():
                 if self._counter is None:
                     self._post(api.CountReply(act.name, api.CONNECT_FAILED, 0.0))
--- a/yewstage/net/keyed.py
+++ b/yewstage/net/keyed.py
@@ -10,24 +10,17 @@
 import base64
 import hashlib
 import logging
-import random
 import secrets
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 
-import xxhash
-
 from yewstage.log import Event
-from yewstage.net.config import Address
 from yewstage.net.http1 import Reply
-from yewstage.net.stats import Use
-from yewstage.registry.client import Client, SilentError, Told
+from yewstage.net.lanes import TRY_S, Lanes
+from yewstage.registry.client import Told
 
 log = logging.getLogger(__name__)
 
-LANES = 16  # connections: keys of one lane are called one after the other, as a rule at one leader
-TRY_S = 0.5  # after which another member is asked
-REST_S = 0.02, 0.08
 SETTLE_S = 20.0  # for how long an end is told again until it is heard
 MOST_TOLD = 2000  # ends that wait to be heard; past that a key stays claimed until its window is over
 LONGEST_KEPT = 8 * 1024  # an answer's body, to be given again
@@ -51,14 +44,11 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        addresses: tuple[Address, ...],
+        lanes: Lanes,
         name: str,
-        use: Use,
-        rng: random.Random,
     ) -> None:
-        self._loop, self._rng = loop, rng
+        self._loop, self._lanes = loop, lanes
         self._life = f"{name[:40]}.{secrets.token_hex(8)}"
-        self._lanes = [Client(addresses, rng, use) for _ in range(LANES)]
         self._tasks: set[asyncio.Task] = set()
         self.results = dict.fromkeys(RESULTS, 0)
         self.untold = 0  # ends that were given up
@@ -92,8 +82,7 @@
         """Ask no more."""
         for task in self._tasks:
             task.cancel()
-        for lane in self._lanes:
-            lane.close()
+        self._lanes.close()
 
     def figures(self) -> dict[str, float]:
         """What operators read."""
@@ -110,7 +99,7 @@
         result = "silent"
         while (left_s := until - self._loop.time()) > 0 and not held.left:
             body = {"windowMs": window_ms}
-            answer = await self._call(held, "claim", body, min(left_s, TRY_S))
+            answer = await self._call(held, "claim", body, left_s)
             if answer is not None and answer.status == 200:
                 result = self._understood(held, answer.body)
                 break
@@ -120,7 +109,7 @@
                           why=str(answer.body.get("error", "")))
                 )
                 break
-            await self._rest()
+            await self._lanes.rest()
         held.result = result
         self.results[result] += 1
         if result == "silent" or (held.left and result == "yours"):
@@ -155,19 +144,12 @@
             answer = await self._call(held, verb, body, TRY_S)
             if answer is not None and answer.status not in (421, 503):
                 return
-            await self._rest()
+            await self._lanes.rest()
         self.untold += 1
 
     async def _call(self, held: Held, verb: str, body: dict[str, object], within_s: float) -> Told | None:
-        lane = self._lanes[xxhash.xxh64_intdigest(held.key.encode()) % LANES]
-        try:
-            async with asyncio.timeout(within_s):
-                return await lane.call("POST", f"/v1/keys/{held.key}/{verb}", {"by": held.by, **body})
-        except (SilentError, TimeoutError):
-            return None
-
-    async def _rest(self) -> None:
-        await asyncio.sleep(self._rng.uniform(*REST_S))
+        path = f"/v1/keys/{held.key}/{verb}"
+        return await self._lanes.call(held.key, path, {"by": held.by, **body}, within_s)
 
     def _spawn(self, work: Coroutine) -> None:
         task = self._loop.create_task(work)
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -42,6 +42,7 @@
 CALL_REST_MS = 1000.0  # one call in this time is made however few are answered: it finds the counter's return
 FORGET_WINDOWS = 6.0  # windows without a request after which a customer is forgotten
 KEEP_MAX_MS = 60000.0  # longest life of a count
+SHARE_MS, SHARE_OF_MS = 3000.0, 1000.0  # life of a share; it is asked for as what is used in so long
 # What a next process takes over, beside names and windows.
 HANDED = ("born", "q", "f", "q_seen", "ok_q", "lost", "mid", "done_rate", "warm_rate", "bank", "heard")
 HANDED_HOST = ("born", "slow", "strikes", "fails", "down_until", "died", "cold_from_ms", "credit",
@@ -57,6 +58,11 @@
     return value
 
 
+def account(plan: str, customer: str) -> str:
+    """The name of a customer's account, where shares are granted; it tells nobody who that is."""
+    return hashlib.blake2s(f"{plan}/{customer}".encode(), digest_size=16).hexdigest()
+
+
 def ramp(q: float) -> float:
     """The SiRED fraction for smoothed occupancy q."""
     return max(F_MIN, min((Q_MAX - q) / (Q_MAX - Q_MIN), 1.0))
@@ -131,7 +137,8 @@
 
     __slots__ = ("plan", "width", "window", "name", "own", "added", "base", "base_own", "base_at", "base_use",
                  "base_left", "most", "left", "left_at", "others", "calling", "in_call", "call_at", "asking",
-                 "open", "elsewhere", "seen", "ceiling", "ceiling_at", "luck", "loading")
+                 "open", "elsewhere", "seen", "ceiling", "ceiling_at", "luck", "loading", "share",
+                 "share_until", "share_rests", "taken", "floored")
 
     def __init__(self, plan: api.Plan, width: int, now: float, age: float) -> None:
         self.plan, self.width, self.seen = plan, width, now
@@ -150,6 +157,9 @@
         self.ceiling = self.ceiling_at = 0.0
         self.loading = 0.0  # units of bodies on their way: taken from our part, not yet from the store
         self.luck = 1.0  # part of our asking that found something left
+        self.share = self.taken = 0.0  # units that are ours alone; what was spent since we asked for them
+        self.share_until = self.share_rests = 0.0  # and until when; when to ask again at the soonest
+        self.floored = False  # nobody was heard, and what may be spent so was begun
 
 
 class _Cell:
@@ -421,7 +431,7 @@
             use.asking.append((req, cls, aim_at, end_at))
             # Danger: what is reserved and refused stands in the total until it is taken off, and all read it:
             # for one whom the fleet mostly refuses, the asking alone would fill the quota.
-            self._sync(use, req.customer, req.units * (use.luck >= RESERVE), True)
+            self._sync(use, req.customer, req.units * (use.luck >= RESERVE or plan.shares), True)
         else:
             self._decide(req, cls, use, aim_at, end_at, False)
 
@@ -576,7 +586,9 @@
             use = self.uses[req.customer] = _Use(plan, width, self.now, self.now - (self.born or 0.0))
             use.ceiling_at = self.born or 0.0
         use.width, use.seen = max(use.width, width), self.now
-        if plan.rate > 0:  # windows start at a phase of the customer's own: no herd of calls at their edges
+        if plan.shares:
+            use.name = account(plan.name, req.customer)
+        elif plan.rate > 0:  # windows start at a phase of the customer's own: no herd of calls at their edges
             digest, length = hashlib.blake2s(req.customer.encode(), digest_size=8), self._window_ms(plan)
             clock = self.now / length + int.from_bytes(digest.digest()[:2], "big") / 65536
             if int(clock) != use.window:
@@ -622,6 +634,8 @@
 
     def _unsure(self, use: _Use, units: float) -> bool:
         """Nothing was read, or the estimate says no or maybe and the last total does not."""
+        if use.plan.shares:
+            return self.now >= use.share_rests and not self._share_has(use, units)
         if not self.s.may_count or use.plan.rate <= 0 or not self._may_call():
             return False
         doubt = (max(use.others, 0.0) * (self.now - use.base_at)) ** 0.5  # the others' use may vary so much
@@ -637,6 +651,7 @@
 
     @staticmethod
     def _spend(use: _Use, units: float) -> None:
+        use.share, use.taken = use.share - units, use.taken + units
         use.own += units
         use.left -= units
         use.most -= units
@@ -647,6 +662,8 @@
             return False
         if plan.rate <= 0:
             return True
+        if plan.shares:
+            return self._share_has(use, units)
         if use.base is None and use.own == 0:
             return True  # one request costs nearly nothing, and its count call tells us more
         self._left(use)
@@ -654,6 +671,11 @@
             use.left = self._draw(use.left, units)  # hurts: small parts serve by luck
         return use.left >= units - 1e-9
 
+    def _share_has(self, use: _Use, units: float) -> bool:
+        """Invariant: a share is taken out of the customer's account before it is ours, and its time began as
+        we asked for it, so that it is over here before the account lets others have what we left."""
+        return self.now < use.share_until and use.share >= units - 1e-9 and not self.handed
+
     def _ceiling_has(self, use: _Use, units: float) -> bool:
         """This gateway's part of the ceiling, 1 / width of its rate and burst, empty at our start.
 
@@ -674,6 +696,15 @@
 
     def _sync(self, use: _Use, customer: str, reserve: float = 0.0, asked: bool = False) -> None:
         """Tell the counter, in batches that shrink as the customer nears its limit."""
+        if use.plan.shares:
+            if asked and not use.calling:
+                used = use.taken / max(self.now - use.call_at, SWEEP_MS) * SHARE_OF_MS
+                use.calling, use.call_at, use.taken = True, self.now, 0.0
+                use.share = min(use.share, 0.0)  # by asking we give up what is left of the one before
+                self.calls[use.name] = customer
+                want = min(reserve + used, use.plan.burst)
+                self.out.append(api.Count(use.name, want, SHARE_MS, use.plan.name, reserve))
+            return
         newer = use.own - use.added + reserve  # asked and told in one; a refusal is taken off again
         if not self.s.may_count or use.plan.rate <= 0 or use.calling:
             return
@@ -688,6 +719,8 @@
     def _count_reply(self, reply: api.CountReply) -> None:
         customer = self.calls.get(reply.name)
         ok = reply.result == api.OK
+        if customer in self.uses and self.uses[customer].plan.shares:
+            return self._granted(self.uses[customer], reply, ok)
         self.heard += HEED * (ok - self.heard)
         if self.heard < 0.5:
             self._say("counter", "counter silent or crowded: calling less, quotas go by our estimates")
@@ -703,6 +736,20 @@
         if ok:
             self._sync(use, customer)
 
+    def _granted(self, use: _Use, reply: api.CountReply, ok: bool) -> None:
+        """A share, or word that there is none, or no word: then what a gateway that is cut off may spend."""
+        if not use.calling or use.name != reply.name:
+            return
+        use.calling = False  # what is under 0 is owed: answers that cost more than was guessed
+        if ok:
+            use.share, use.share_until = use.share + reply.total, use.call_at + SHARE_MS
+        elif not use.floored:
+            use.share, use.share_until = use.share + use.plan.floor, self.now + use.plan.floor_ms
+        use.floored = not ok
+        if not ok or reply.total <= 0:  # there is none: not before one unit has filled
+            use.share_rests = self.now + max(SWEEP_MS, 1000 / use.plan.rate)
+        self._settle(use)
+
     def _settle(self, use: _Use) -> None:
         """Decide the requests that waited for a total."""
         waiting, use.asking = use.asking, []
@@ -1023,7 +1070,7 @@
         self._update_f()
         for use in [u for u in self.uses.values() if u.asking]:
             if self.now - use.call_at > self.s.count_wait_ms + SWEEP_MS:  # danger: a reply that never comes
-                use.calling = False
+                use.calling = use.plan.shares  # a share that comes late is ours all the same
                 self._settle(use)
         for customer in [c for c, u in self.uses.items() if self._stale(u)]:
             self.calls.pop(self.uses.pop(customer).name, None)
