--- a/plumwall/faults/fleet.py
+++ b/plumwall/faults/fleet.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from pathlib import Path
 
-from plumwall.faults.gateways import GatewayProcess
+from plumwall.faults.gateways import GatewayProcess, listed
 from plumwall.faults.links import DatagramStandIn
 from plumwall.faults.machines import HOST, ZONES
 from yewstage.registry.client import ask_once
@@ -39,7 +39,7 @@
             "seed": "1",
             "limits": {"memory_mb": 192, "sockets": 512},
             "settings": settings,
-            "known": {"generation": 1, "reset": True, "instances": [_server(0)]},
+            "known": {"generation": 1, "reset": True, "instances": [listed("s0", 1)]},
         }
         self.gateways = {name: GatewayProcess(name, folder / name, raw) for name in self.names}
 
@@ -138,15 +138,3 @@
                     break
                 await asyncio.sleep(LOOK_S)
 
-
-def _server(number: int) -> dict[str, object]:
-    return {
-        "instanceId": f"s{number}",
-        "hostPort": f"{HOST}:1",
-        "zone": "a",
-        "machineType": "m",
-        "cell": number,
-        "lifecycle": "ready",
-        "weight": 1.0,
-        "startedAtMs": 0,
-    }
--- a/plumwall/faults/gateways.py
+++ b/plumwall/faults/gateways.py
@@ -99,6 +99,29 @@
         await self.process.wait()
 
 
+def listed(name: str, port: int, cell: int = 0) -> dict[str, object]:
+    """A server as lists tell it."""
+    return {
+        "instanceId": name,
+        "hostPort": f"{HOST}:{port}",
+        "zone": "a",
+        "machineType": "m",
+        "cell": cell,
+        "lifecycle": "ready",
+        "weight": 1.0,
+        "startedAtMs": 0,
+    }
+
+
+def check_weights(faults: dict[str, float], known: tuple[str, ...]) -> None:
+    """How often each fault of a plan is drawn; ValueError names the field."""
+    for fault, weight in faults.items():
+        if fault not in known or weight < 0:
+            raise ValueError(f"faults.{fault}: must be one of {', '.join(known)}, not under 0")
+    if not sum(faults.values()) > 0:
+        raise ValueError("faults: one must be above 0")
+
+
 @dataclass(frozen=True)
 class Moods:
     """How servers behave: parts of their requests."""
@@ -133,16 +156,7 @@
 
     def listed(self, number: int) -> dict[str, object]:
         """As lists tell it: each server in a cell of its own, so that none knows another's keys."""
-        return {
-            "instanceId": self.name,
-            "hostPort": f"{HOST}:{self.port}",
-            "zone": "a",
-            "machineType": "m",
-            "cell": number,
-            "lifecycle": "ready",
-            "weight": 1.0,
-            "startedAtMs": 0,
-        }
+        return listed(self.name, self.port, number)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
--- a/plumwall/faults/members.py
+++ b/plumwall/faults/members.py
@@ -17,6 +17,7 @@
 import numpy as np
 
 from plumwall.faults.fleet import LOOK_S, Fleet
+from plumwall.faults.gateways import check_weights
 from plumwall.faults.machines import HOST
 from yewstage.net.peers import SERVERS
 
@@ -37,11 +38,7 @@
 
     def check(self) -> None:
         """ValueError names the field."""
-        for fault, weight in self.faults.items():
-            if fault not in FAULTS or weight < 0:
-                raise ValueError(f"faults.{fault}: must be one of {', '.join(FAULTS)}, not under 0")
-        if not sum(self.faults.values()) > 0:
-            raise ValueError("faults: one must be above 0")
+        check_weights(self.faults, FAULTS)
 
 
 @dataclass
--- a/plumwall/faults/shares.py
+++ b/plumwall/faults/shares.py
@@ -20,7 +20,7 @@
 import msgspec
 import numpy as np
 
-from plumwall.faults.gateways import GatewayProcess
+from plumwall.faults.gateways import GatewayProcess, check_weights, listed
 from plumwall.faults.links import StandIn
 from plumwall.faults.machines import HOST, Machine, Machines
 from yewstage.holding.kinds import group_of
@@ -52,11 +52,7 @@
 
     def check(self) -> None:
         """ValueError names the field."""
-        for fault, weight in self.faults.items():
-            if fault not in FAULTS or weight < 0:
-                raise ValueError(f"faults.{fault}: must be one of {', '.join(FAULTS)}, not under 0")
-        if not sum(self.faults.values()) > 0:
-            raise ValueError("faults: one must be above 0")
+        check_weights(self.faults, FAULTS)
         if (self.mode == "bounded") != (self.floor > 0 and self.floor_ms > 0):
             raise ValueError("floor, floor_ms: must be above 0 in the mode bounded, and only there")
 
@@ -149,10 +145,6 @@
 
     async def _start_gateways(self, machines: Machines, port: int) -> None:
         plan = self._plan
-        listed = {
-            "instanceId": "s", "hostPort": f"{HOST}:{port}", "zone": "a", "machineType": "m", "cell": 0,
-            "lifecycle": "ready", "weight": 100.0, "startedAtMs": 0,
-        }
         grade = {"name": "view", "objective_ms": 1500.0, "deadline_ms": DEADLINE_MS, "effect": "safe"}
         package = {"name": PLAN, "refill": plan.rate, "burst": plan.burst}
         for number in range(plan.gateways):
@@ -165,7 +157,7 @@
                 "discovery": f"{HOST}:1",
                 "seed": f"{number + 1:016x}",
                 "limits": {"memory_mb": 192, "sockets": 512},
-                "known": {"generation": 1, "reset": True, "instances": [listed]},
+                "known": {"generation": 1, "reset": True, "instances": [listed("s", port)]},
                 "settings": {
                     "grades": [grade], "packages": [package], "fleet_size": plan.gateways, "me": number,
                     "tick_ms": 2.0, "bounds": {"try_limit": 2, "cancel": True},
--- a/plumwall/faults/torture.py
+++ b/plumwall/faults/torture.py
@@ -21,6 +21,7 @@
 import msgspec
 import numpy as np
 
+from plumwall.faults.gateways import check_weights
 from plumwall.faults.keyed import KeyedPlan
 from plumwall.faults.linear import NEVER, Call, UndecidedError, breach
 from plumwall.faults.machines import HOST, ZONES, Machine, Machines
@@ -78,15 +79,10 @@
         plan = msgspec.convert(tomllib.loads(path.read_text()), kinds)
         if isinstance(plan, MembersPlan | SharesPlan):
             plan.check()
+        elif isinstance(plan, Plan):
+            check_weights(plan.faults, FAULTS)
     except (OSError, ValueError) as error:  # of TOML and of fields, too
         raise ValueError(f"{path}: {error}") from None
-    if not isinstance(plan, Plan):
-        return plan
-    for fault, weight in plan.faults.items():
-        if fault not in FAULTS or weight < 0:
-            raise ValueError(f"{path}: faults.{fault}: must be one of {', '.join(FAULTS)}, not under 0")
-    if not sum(plan.faults.values()) > 0:
-        raise ValueError(f"{path}: faults: one must be above 0")
     return plan
 
 
--- a/plumwall/model/scenes.py
+++ b/plumwall/model/scenes.py
@@ -43,6 +43,16 @@
     settle(cluster)
 
 
+def begin_anew(cluster: Cluster) -> None:
+    """All go on from a snapshot, after a restart."""
+    for i in (A, B, C):
+        cluster.compact(i)
+    settle(cluster)
+    for i in (A, B, C):
+        cluster.crash(i)
+        cluster.restart(i)
+
+
 def start(planted: Planted | None) -> Cluster:
     """Three machines that know nothing but their members."""
     return Cluster(planted=planted)
@@ -151,12 +161,7 @@
 def held(planted: Planted | None) -> Cluster:
     """A duty is held, a snapshot stands in place of the entry that granted it, and the leader is gone."""
     cluster = led(planted)
-    for i in (A, B, C):
-        cluster.compact(i)
-    settle(cluster)
-    for i in (A, B, C):
-        cluster.crash(i)
-        cluster.restart(i)
+    begin_anew(cluster)
     cluster.wait(TTL_MS / 2)
     return cluster
 
@@ -170,12 +175,7 @@
     settle(cluster)
     cluster.acquire(A, "h1")
     settle(cluster)
-    for i in (A, B, C):
-        cluster.compact(i)
-    settle(cluster)
-    for i in (A, B, C):
-        cluster.crash(i)
-        cluster.restart(i)
+    begin_anew(cluster)
     return cluster
 
 
