--- a/plumwall/model/places.py
+++ b/plumwall/model/places.py
@@ -35,7 +35,7 @@
 from yewstage.registry.store import RefusedError
 
 SIZE, COPIES, GROUPS = 7, 3, names(2)
-GONE_MS = 6000.0
+GONE_MS, ELECTION_MS = 6000.0, 500.0
 WAITS = (200.0, 1000.0, 3000.0, 8000.0)
 LOOKS = 300  # by when, with all machines there and heard, every copy has to be where it is wanted
 QUIET = 15  # looks after that in which nothing may change any more
@@ -61,6 +61,7 @@
     term: int = 1
     leader: int = -1
     heard: dict[str, float] = field(default_factory=dict)  # by its leader
+    confirmed_at: float = 0.0  # when it last heard a majority
 
 
 @dataclass
@@ -134,6 +135,7 @@
         if not self._majority(group, group.members, group.leader):
             self._depose(group)
             return
+        group.confirmed_at = self.time
         for member in group.members:
             if (j := self.at(member.id)) >= 0 and self.reach(group.leader, j):
                 group.heard[member.id] = self.time
@@ -144,6 +146,7 @@
         voter = any(m.id == me and m.voter for m in group.members)
         if group.leader < 0 and voter and me in group.whole and self._majority(group, group.members, i):
             group.leader, group.term, group.heard = i, group.term + 1, {}
+            group.confirmed_at = self.time
             if g == PLACES:
                 self.machines[i].table = self.table
 
@@ -210,9 +213,13 @@
 
     def look(self, i: int) -> None:
         """What a process does five times a second."""
-        me, led = self.machines[i], self._led(i)
+        me = self.machines[i]
         if not me.up:
             return
+        for g in self._led(i):  # check-quorum: who was not confirmed leads no more before it does anything
+            if self.time - self.groups[g].confirmed_at > ELECTION_MS:
+                self._depose(self.groups[g])
+        led = self._led(i)
         me.since = {g: me.since.get(g, self.time) for g in led}
         if PLACES in led:
             me.table = self.table
@@ -243,6 +250,7 @@
             near = member.voter and member.id in group.whole and j >= 0 and self.reach(group.leader, j)
             if near and j != group.leader:
                 group.leader, group.term, group.heard = j, group.term + 1, {}
+                group.confirmed_at = self.time
                 return
 
     def _sight(self, i: int) -> Sight:
@@ -321,7 +329,7 @@
             raise BreachError("places do not come to rest")
 
     def _fair(self) -> None:
-        self.time += 500.0
+        self.time += ELECTION_MS
         for g in self.groups:
             self.beat(g)
             for i in range(SIZE):
