Check a holding's file, and tell of holding, shares and peers in a gateway's

Tried by hand as a new user: config check took a holding's file for a list service's and refused it, and said nothing of the parts of a gateway's file that are off by default.

--- a/plumwall/cli/check.py
+++ b/plumwall/cli/check.py
@@ -8,12 +8,14 @@
 import click
 
 from plumwall.cli.console import FILE, BadFileError, as_json, fields
+from yewstage.holding.config import HoldingConfig, holding
+from yewstage.interface import Plan
 from yewstage.net.clients import Names
 from yewstage.net.config import Config, ConfigError, load
 from yewstage.registry.config import CheckerConfig, checker, read, service
 from yewstage.registry.config import Config as RegistryConfig
 
-KINDS = ("gateway", "registry", "checker")
+KINDS = ("gateway", "holding", "registry", "checker")
 
 
 @click.group()
@@ -26,7 +28,7 @@
 @click.option("--kind", type=click.Choice(KINDS), help="Whose file it is; else its fields tell.")
 @as_json
 def check_config(file: Path, kind: str | None, json_: bool) -> None:
-    """Check the configuration FILE of a gateway, list service or checker; nothing is started.
+    """Check the configuration FILE of a gateway, holding, list service or checker; nothing is started.
 
     \b
     Examples:
@@ -42,11 +44,12 @@
 
 
 def _kind(raw: dict[str, object]) -> str:
-    for kind, field in zip(KINDS, ("settings", "folder", "probing"), strict=True):
+    fields_of = ("settings", "cluster", "folder", "probing")
+    for kind, field in zip(KINDS, fields_of, strict=True):
         if field in raw:
             return kind
     raise ConfigError(
-        "settings, folder, probing: none is there, so whose file this is cannot be told; say --kind"
+        f"{', '.join(fields_of)}: none is there, so whose file this is cannot be told; say --kind"
     )
 
 
@@ -61,9 +64,26 @@
         "plans": ", ".join(p.name for p in made.settings.plans),
         "fleet": made.settings.fleet_size,
         "known": len(made.known.servers),
+        "holding": ", ".join(map(_text, made.holding)) or "none",
+        "shares": ", ".join(_share(plan) for plan in made.settings.plans if plan.shares) or "none",
+        "peers": f"{_text(made.peers.listen)} in {made.peers.settings.cluster}" if made.peers else "none",
     }
 
 
+def _share(plan: Plan) -> str:
+    """How a plan's quota is shared, and what a gateway that hears nobody may spend."""
+    if not plan.floor:
+        return f"{plan.name} strict"
+    return f"{plan.name} bounded by {plan.floor:g} units within {plan.floor_ms:g} ms"
+
+
+def _holding(file: Path) -> dict[str, object]:
+    made: HoldingConfig = holding(read(str(file)))
+    peers = ", ".join(sorted(made.peers))
+    return {"cluster": made.cluster, "name": made.name, "zone": made.zone, "peer": _text(made.peer),
+            "peers": peers, "listen": _text(made.service.listen), "folder": str(made.service.folder)}
+
+
 def _registry(file: Path) -> dict[str, object]:
     made: RegistryConfig = service(read(str(file)))
     return {"listen": _text(made.listen), "ops": _text(made.ops), "folder": str(made.folder)}
@@ -80,6 +100,7 @@
 
 _CHECKS: dict[str, Callable[[Path], dict[str, object]]] = {
     "gateway": _gateway,
+    "holding": _holding,
     "registry": _registry,
     "checker": _checker,
 }
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -31,7 +31,8 @@
 
 
 @pytest.mark.parametrize(("text", "field"), [
-    ("{", "cannot be read"), ("[]", "JSON object"), ("{}", "settings, folder, probing"),
+    ("{", "cannot be read"), ("[]", "JSON object"), ("{}", "settings, cluster, folder, probing"),
+    ('{"cluster": "c", "folder": "x"}', "name: "),
     ('{"folder": "x", "listen": "a"}', "listen: "), ('{"probing": true, "name": "c"}', "registry: "),
     ('{"settings": {}, "listen": "127.0.0.1:0"}', "settings: classes"),
     ('{"settings": {"bounds": {"dial_timeout_ms": 0}}}', "bounds.dial_timeout_ms")])
