Answer at once where shares come by SIGHUP and no holding is there, and cut leaders off in rounds

Read again: shares taken up by SIGHUP in a process that was started without a holding had nobody to ask; the call failed, and its customers waited for a word that never came. The look for full accounts goes over some at a time. Rounds of shares know a granting leader that is cut off from the other holders while gateways reach it, one that is stopped until another leads, and one whose clock is an hour ahead.

--- a/plumwall/faults/shares.py
+++ b/plumwall/faults/shares.py
@@ -26,8 +26,9 @@
 from yewstage.holding.kinds import group_of
 from yewstage.policy import account
 
-FAULTS = ("quiet", "leader_lost", "gateway_killed", "all_gateways_killed", "gateway_stopped", "gateway_cut",
-          "holding_down", "holding_slow", "holding_killed")
+FAULTS = ("quiet", "leader_lost", "leader_cut", "leader_paused", "clock_off", "gateway_killed",
+          "all_gateways_killed", "gateway_stopped", "gateway_cut", "holding_down", "holding_slow",
+          "holding_killed")
 CUSTOMER, PLAN = "00000000000000aa", "basic"
 MARK_S, FAULT_S, ROUND_S = 0.1, 4.0, 60.0
 DEADLINE_MS = 2000.0
@@ -221,9 +222,23 @@
             case "quiet":
                 await asyncio.sleep(2 * FAULT_S)
             case "leader_lost":
-                leader = await machines.leader(group_of(account(PLAN, CUSTOMER), 2))
+                leader = await self._leader(machines)
                 await leader.kill(disk_too=True)
                 await machines.start(leader)
+            case "leader_cut":  # from the other holders, and not from gateways: it must grant nothing more
+                machines.isolate(await self._leader(machines))
+                await asyncio.sleep(FAULT_S)
+                machines.heal()
+            case "leader_paused":  # it wakes to find that another one leads
+                leader = await self._leader(machines)
+                leader.pause()
+                await asyncio.sleep(FAULT_S)
+                leader.wake()
+            case "clock_off":  # started again with a clock that is an hour ahead
+                leader = await self._leader(machines)
+                await leader.kill()
+                leader.clock_s = 3600
+                await machines.start(leader)
             case "gateway_killed":
                 await gateway.kill()
                 await gateway.start()
@@ -252,6 +267,11 @@
             case "holding_killed":
                 await self._restart(machines.all, machines, 0.0)
 
+    @staticmethod
+    async def _leader(machines: Machines) -> Machine:
+        """Who grants this customer's shares."""
+        return await machines.leader(group_of(account(PLAN, CUSTOMER), 2))
+
     @staticmethod
     async def _restart(down: list[Machine], machines: Machines, after_s: float) -> None:
         await asyncio.gather(*(machine.kill() for machine in down))
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 from pathlib import Path
 
 import pytest
@@ -11,8 +12,9 @@
 from test_holding_groups import ask as until_answered
 from test_registry import run
 
+from plumwall.faults.gateways import GatewayProcess, listed
 from plumwall.faults.machines import HOST, Machines
-from plumwall.faults.shares import CUSTOMER, PLAN, SharesOutcome, SharesTorture
+from plumwall.faults.shares import ASK, CUSTOMER, PLAN, SharesOutcome, SharesTorture
 from plumwall.faults.torture import PLANS, read_plan
 from yewstage import interface as api
 from yewstage.net.config import ConfigError, parse
@@ -152,6 +154,36 @@
         parse({key: value for key, value in raw.items() if key != "holding"} | {"shares": {}})
 
 
+def test_shares_that_come_by_sighup_where_there_is_no_holding_refuse_and_do_not_wait_for_ever(
+    tmp_path: Path,
+) -> None:
+    """`holding` wants a restart: until then nobody can be asked, which is told at once."""
+    raw: dict[str, object] = {
+        "discovery": f"{HOST}:1", "seed": "1", "known": {
+            "generation": 1, "reset": True, "instances": [listed("s", 1)]},
+        "settings": {
+            "grades": [{"name": "view", "objective_ms": 1500.0, "deadline_ms": 2000.0, "effect": "safe"}],
+            "packages": [{"name": PLAN, "refill": 5.0, "burst": 9.0}]},
+    }
+
+    async def scenario() -> None:
+        gateway = GatewayProcess("g0", tmp_path, raw)
+        await gateway.start()
+        gateway.set(holding=[f"{HOST}:1"], shares={PLAN: {"mode": "strict"}})
+        gateway.process.send_signal(signal.SIGHUP)
+        while not any("reconfigured" in line for line in gateway.lines):
+            await asyncio.sleep(0.02)
+        for _ in range(3):
+            reader, writer = await asyncio.open_connection(HOST, gateway.listen)
+            writer.write((ASK % 1).encode())
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 503")
+            writer.close()
+        assert not any("action_failed" in line or "an action failed" in line for line in gateway.lines)
+        await gateway.kill()
+
+    on_loop(scenario, 30)
+
+
 def tortured(folder: Path, seed: int, faults: list[str], **changes: object) -> SharesOutcome:
     plan = structs.replace(read_plan("shares"), gateways=3, **changes)
     outcome = SharesOutcome()
@@ -171,7 +203,7 @@
 def test_strict_nothing_is_over_as_holders_are_lost_and_gateways_are_stopped_and_cut_off(
     tmp_path: Path,
 ) -> None:
-    outcome = tortured(tmp_path, 1, ["leader_lost", "gateway_stopped", "gateway_cut"])
+    outcome = tortured(tmp_path, 1, ["leader_cut", "gateway_stopped", "leader_lost"])
     assert outcome.beyond == 0.0 and outcome.floors == 0.0 and outcome.served > 60
 
 
--- a/yewstage/holding/accounts.py
+++ b/yewstage/holding/accounts.py
@@ -23,7 +23,7 @@
 MOST = 100_000  # accounts of one group; past that no new ones are opened
 LIFE_MS = 1.0, 60_000.0
 MOST_SHARES = 1000  # granted of one account at one time
-BATCH = 500  # forgotten by one entry
+BATCH = 500  # looked at, and so forgotten by one entry, at a time
 
 
 @dataclass(slots=True)
@@ -67,6 +67,7 @@
     def __init__(self, drift: float) -> None:
         self._drift = drift
         self.all: dict[str, Account] = {}
+        self._looks: list[str] = []  # names that are to be looked at in this turn
 
     # --- Planned by the leader ----------------------------------------------------------------------------
 
@@ -92,8 +93,12 @@
         return entry, given
 
     def plan_forget(self, now: float) -> list[str]:
-        """Accounts that are full, with nothing granted: a new one would be the same."""
-        return [name for name, account in self.all.items() if self._full(account, now)][:BATCH]
+        """Accounts that are full, with nothing granted: a new one would be the same. Each call looks at some,
+        in turn, for there may be many."""
+        if not self._looks:
+            self._looks = list(self.all)
+        looked, self._looks = self._looks[-BATCH:], self._looks[:-BATCH]
+        return [name for name in looked if name in self.all and self._full(self.all[name], now)]
 
     def _full(self, account: Account, now: float) -> bool:
         units, shares = self._now(account, account.rate, account.burst, now)
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -169,15 +169,15 @@
 
     def _share(self, act: api.Count) -> None:
         """Units of a customer's quota that this gateway alone may spend."""
+        plan = next((plan for plan in self.settings.plans if plan.name == act.plan), None)
+        if plan is None or not self._config.holding:  # retuned away, or there was no holding at the start
+            self._post(api.CountReply(act.name, api.TIMED_OUT, 0.0))
+            return
         if self._shares is None:
             from yewstage.net.shares import Shares
 
             self._shares = Shares(self._loop, self._lanes("shares"), self._config.name)
-        plan = next((plan for plan in self.settings.plans if plan.name == act.plan), None)
-        if plan is None:  # it was retuned away meanwhile
-            self._post(api.CountReply(act.name, api.TIMED_OUT, 0.0))
-        else:
-            self._shares.take(act, plan, self._post)
+        self._shares.take(act, plan, self._post)
 
     # --- Life ---------------------------------------------------------------------------------------------
 
