Make one class serve the processes of both fault rigs, and one report their runs

Read over again, the workbench had three things twice or for nothing: - a machine of a holding and a gateway beside it each read their log, told whether they were up and took SIGSTOP and SIGCONT by the same lines. `Child` of `plumwall/faults/child.py` does that for both; starts stay apart, since they wait for different lines, and so do the kills, since only a machine loses a disk; - the reports of the keyed, members and shares plans ended by the same rows and the same exit status, which `tell` now adds. The holding's own report keeps its end: it prints the last calls before it exits; - the simulated gateway counted its requests in a number nobody read.

Ruled out: one start for `yewstage.holding` and `yewstage.registry`, which differ in their errors and statuses, and one for both rigs' `start`.

--- a/plumwall/cli/torture.py
+++ b/plumwall/cli/torture.py
@@ -81,9 +81,16 @@
         raise SystemExit(1)
 
 
+def tell(rows: dict[str, object], breach: str, took_s: float, json_: bool) -> None:
+    """Print what a run found; exit status 1 if a promise was broken."""
+    fields(rows | {"took, s": round(took_s, 1), "broken": breach or "nothing"}, json_)
+    if breach:
+        raise SystemExit(1)
+
+
 def tell_keyed(plan: str, seed: int, outcome: KeyedOutcome, took_s: float, json_: bool) -> None:
     """What came of rounds under clients that repeat."""
-    fields(
+    tell(
         {
             "plan": plan,
             "seed": seed,
@@ -96,18 +103,16 @@
             "repeats answered by what is known": outcome.recalled,
             "effects that happened twice": outcome.twice,
             "all copies again, s": spread(outcome.whole_s),
-            "took, s": round(took_s, 1),
-            "broken": outcome.breach or "nothing",
         },
+        outcome.breach,
+        took_s,
         json_,
     )
-    if outcome.breach:
-        raise SystemExit(1)
 
 
 def tell_members(plan: str, seed: int, outcome: MembersOutcome, took_s: float, json_: bool) -> None:
     """What came of rounds on gateways that find out who is there."""
-    fields(
+    tell(
         {
             "plan": plan,
             "seed": seed,
@@ -119,20 +124,18 @@
             "looks at all": outcome.looks,
             "oldest word shown, ms": round(outcome.oldest_ms),
             "bytes a second of a gateway": round(outcome.bytes_per_s),
-            "took, s": round(took_s, 1),
-            "broken": outcome.breach or "nothing",
         },
+        outcome.breach,
+        took_s,
         json_,
     )
-    if outcome.breach:
-        raise SystemExit(1)
 
 
 def tell_shares(
     plan: str, seed: int, read: SharesPlan, outcome: SharesOutcome, took_s: float, json_: bool
 ) -> None:
     """What came of rounds on gateways that spend shares of a quota."""
-    fields(
+    tell(
         {
             "plan": f"{plan}, {read.mode}",
             "seed": seed,
@@ -144,13 +147,11 @@
             "floors allowed, in all": outcome.floors,
             "part of the quota used": round(outcome.used, 3),
             "the same without a fault": spread(outcome.quiet),
-            "took, s": round(took_s, 1),
-            "broken": outcome.breach or "nothing",
         },
+        outcome.breach,
+        took_s,
         json_,
     )
-    if outcome.breach:
-        raise SystemExit(1)
 
 
 def spread(values: list[float]) -> str:
--- a/plumwall/faults/gateways.py
+++ b/plumwall/faults/gateways.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import os
-import signal
 import sys
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -13,21 +12,20 @@
 import numpy as np
 
 from plumwall.emulator.process import ROOT, is_ready, kill, spawn
+from plumwall.faults.child import Child
 from plumwall.faults.machines import HOST
 
 READY_S = 0.02
 
 
-class GatewayProcess:
+class GatewayProcess(Child):
     """One gateway by its module, on ports of the system's choice, which stay once they are known."""
 
     def __init__(self, name: str, folder: Path, raw: dict[str, object]) -> None:
-        self.name, self.folder, self._raw = name, folder, raw
+        super().__init__(name)
+        self.folder, self._raw = folder, raw
         self.listen = self.ops = self.members = 0
-        self.process: asyncio.subprocess.Process | None = None
         self._paused = False
-        self.lines: list[str] = []
-        self._reading: asyncio.Task | None = None
 
     async def start(self) -> None:
         """Start the process; returns once it is ready."""
@@ -49,7 +47,7 @@
                 break
         else:
             raise RuntimeError(f"{self.name} ended at its start: {self.lines[-3:]}")
-        self._reading = asyncio.create_task(self._read(self.process))
+        self.read_on()
         while not await is_ready(HOST, self.listen):
             await asyncio.sleep(READY_S)
 
@@ -60,28 +58,19 @@
         path.write_bytes(msgspec.json.encode(self._raw | own))
         return path
 
-    async def _read(self, process: asyncio.subprocess.Process) -> None:
-        while line := await process.stderr.readline():
-            self.lines.append(line.decode())
-            del self.lines[:-500]
-
-    def up(self) -> bool:
-        """Whether its process runs."""
-        return self.process is not None and self.process.returncode is None
-
     def runs(self) -> bool:
         """Whether it is up, and not stopped."""
         return self.up() and not self._paused
 
     def pause(self) -> None:
-        """SIGSTOP."""
+        """SIGSTOP, and it counts as not running."""
         self._paused = True
-        self.process.send_signal(signal.SIGSTOP)
+        super().pause()
 
     def wake(self) -> None:
-        """SIGCONT."""
+        """SIGCONT, and it counts as running."""
         self._paused = False
-        self.process.send_signal(signal.SIGCONT)
+        super().wake()
 
     def set(self, **changes: object) -> None:
         """Other values in the configuration file, for the next start or the next SIGHUP."""
--- a/plumwall/faults/machines.py
+++ b/plumwall/faults/machines.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from plumwall.emulator.process import kill, spawn_module
+from plumwall.faults.child import Child
 from plumwall.faults.links import StandIn
 from yewstage.holding.kinds import LIST, PLACES
 from yewstage.holding.members import to_begin
@@ -33,19 +34,17 @@
     return ["plumwall.faults.hindered", *how, module]
 
 
-class Machine:
+class Machine(Child):
     """One machine: a name, a folder, a process unless it is down. Its ports stay once they are known."""
 
     def __init__(self, name: str, zone: str, folder: Path, changes: dict[str, object]) -> None:
-        self.name, self.zone, self.folder, self.changes = name, zone, folder, changes
+        super().__init__(name)
+        self.zone, self.folder, self.changes = zone, folder, changes
         self.links: dict[str, StandIn] = {}  # to the others, by name
         self.peer = self.listen = self.ops = 0
         self.module = "yewstage.holding"
         # What is worse than it should be, from the next start on.
         self.sync_ms = self.file_bytes = self.clock_s = 0
-        self.process: asyncio.subprocess.Process | None = None
-        self.lines: list[str] = []
-        self._reading: asyncio.Task | None = None
 
     async def start(self) -> None:
         """Start the process; returns once it listens."""
@@ -83,16 +82,7 @@
             elif "listening on" in line:
                 self.listen = port
                 break
-        self._reading = asyncio.create_task(self._read(self.process))
-
-    async def _read(self, process: asyncio.subprocess.Process) -> None:
-        while line := await process.stderr.readline():
-            self.lines.append(line.decode())
-            del self.lines[:-500]
-
-    def up(self) -> bool:
-        """Whether its process runs."""
-        return self.process is not None and self.process.returncode is None
+        self.read_on()
 
     async def kill(self, disk_too: bool = False) -> None:
         """SIGKILL; with its disk, if that is lost as well."""
@@ -106,14 +96,6 @@
         self.process.send_signal(signal.SIGTERM)
         return await self.process.wait()
 
-    def pause(self) -> None:
-        """SIGSTOP."""
-        os.kill(self.process.pid, signal.SIGSTOP)
-
-    def wake(self) -> None:
-        """SIGCONT."""
-        os.kill(self.process.pid, signal.SIGCONT)
-
     def fill(self, room: int) -> None:
         """The disk fills: no file grows past the largest one now and so many bytes."""
         sizes = [path.stat().st_size for path in (self.folder / "state").rglob("*") if path.is_file()]
@@ -144,7 +126,6 @@
             with max(folder.glob("log-*")).open("ab") as log:
                 log.write(framed(b"torn" * bytes_)[:bytes_])
 
-
     def forget(self, group: str) -> None:
         """The last record of a group's log is gone, though it had been synced: a disk that lies."""
         log = max((self.folder / "state" / group).glob("log-*"))
--- a/plumwall/simulate/gateway.py
+++ b/plumwall/simulate/gateway.py
@@ -278,7 +278,6 @@
         self.lanes: dict[str, Lane] = {}
         self.links = 0
         self._open: dict[str, Open] = {}
-        self._serial = 0
         self._free_at = self.clock.now
         self._generation: int | None = None
 
@@ -376,7 +375,6 @@
         rid = words["rid"]
         request = self._open[rid] = Open(rid, client, cls, now + left_ms - GUARD_MS)
         request.guard = self.clock.at(request.end_at, self._guard, request)
-        self._serial += 1
         self._post(
             api.Request(rid, cls.name, words["plan"], words["customer"], left_ms - MODULE_MS,
                         words["units"], words["width"], words["first"], words["repeat"], True, cls)
