Let a keyed repeat begin only while its key is remembered, also after a wait for a link

At fault: Send carried no time by which it must begin; Hosts.linked wrote whatever was waiting.

Send.start_ms is what is left of the window; Hosts writes nothing past it, whichever comes first, and the attempt ends as never sent.

--- a/plumwall/simulate/gateway.py
+++ b/plumwall/simulate/gateway.py
@@ -56,13 +56,15 @@
     """One attempt at a server."""
 
     __slots__ = ("request", "number", "lane", "gateway", "rid", "fresh", "expires_ms", "sent_at", "linked",
-                 "done", "timer", "waits", "owner")
+                 "done", "timer", "waits", "owner", "start_by")
 
-    def __init__(self, owner: SimGateway, request: Open, number: int, lane: Lane, wait_ms: float) -> None:
+    def __init__(self, owner: SimGateway, request: Open, number: int, lane: Lane, wait_ms: float,
+                 start_ms: float) -> None:
         now = owner.clock.now
         self.owner, self.request, self.number, self.lane = owner, request, number, lane
         self.gateway, self.rid = owner.spec.name, request.rid
         self.expires_ms, self.sent_at = now + max(wait_ms, 1.0), now
+        self.start_by = now + start_ms  # not begun by then, it does not begin
         self.linked = self.fresh = self.done = False
         self.timer = owner.clock.after(wait_ms + LATE_MS, self._overdue)
         self.waits: Timer | None = None
@@ -97,6 +99,7 @@
 
     def wait(self, for_ms: float) -> None:
         """As long as a link is worth waiting for."""
+        for_ms = min(for_ms, max(self.start_by - self.owner.clock.now, 0.0))
         self.waits = self.owner.clock.after(for_ms, self._waited_enough)
 
     def cancel(self) -> None:
@@ -448,7 +451,7 @@
             request.attempts.append(None)
             self._outcome(act.request, number, act.server, api.CONNECT_FAILED, 0.0, False, unbegun=True)
             return
-        attempt = Attempt(self, request, number, lane, wait_ms)
+        attempt = Attempt(self, request, number, lane, wait_ms, act.start_ms)
         request.attempts.append(attempt)
         self._work(COST_SEND, self._begin_attempt, attempt)
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -139,6 +139,26 @@
     assert fleet.after(0.02).ends[1:] == [("b", api.OK)] and fleet.dialled() == {"up": 1}
 
 
+def test_what_must_begin_by_a_time_is_not_written_after_it() -> None:
+    """A keyed repeat is owed nothing past its key's window, whichever comes first: the time or the link."""
+    fleet = Fleet()
+    server = fleet.server(1, dial_s=0.1, answer_s=0.08)
+    attempt = Attempt("late", 1, "s1", b"GET /late HTTP/1.1\r\n\r\n", 0.0)
+    fleet.hosts.send(attempt, 60, 0.05)
+    fleet.after(0.06)
+    assert fleet.ends == [("late", api.MOOT)]
+    fleet.after(0.1)  # the link is up now, and kept for others
+    assert not server.requests and fleet.figure("links_idle") == 1
+    stalled = Attempt("stalled", 1, "s1", b"GET /stalled HTTP/1.1\r\n\r\n", 0.0)
+    fleet.send("a")  # takes the one link; its answer frees the next
+    fleet.hosts.send(stalled, 60, 0.05)
+    stalled.wait_timer.cancel()  # we stalled: the link is there before the timer is looked at
+    fleet.after(0.2)
+    assert ("stalled", api.MOOT) in fleet.ends and ("a", api.OK) in fleet.ends
+    fleet.send("b")
+    assert fleet.after(0.1).ends[-1] == ("b", api.OK) and len(server.requests) == 2
+
+
 def test_a_link_given_back_serves_who_waits_before_a_dial_does() -> None:
     fleet = Fleet()
     server = fleet.server(1, answer_s=0.02)
--- a/yewstage/interface.py
+++ b/yewstage/interface.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 # Results of an attempt, and whether each one proves that the request never ran.
@@ -229,6 +230,7 @@
     request: str
     server: str
     timeout_ms: float
+    start_ms: float = math.inf  # what is not begun by then must not begin any more: it ends as MOOT
 
 
 @dataclass(slots=True, frozen=True)
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -412,7 +412,7 @@
                           order.cls.name)
         request.attempts.append(attempt)
         request.out += 1
-        self._hosts.send(attempt, max(wait_s, 0.0))
+        self._hosts.send(attempt, max(wait_s, 0.0), act.start_ms / 1000)
 
     def sent(self, attempt: Attempt) -> None:
         """An attempt's last byte was written."""
--- a/yewstage/net/hosts.py
+++ b/yewstage/net/hosts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from typing import Protocol
 
@@ -35,13 +36,13 @@
 
     __slots__ = ("request", "number", "server", "payload", "sent_at", "link", "timer", "wait_timer", "done",
                  "idle_s", "result", "took_s", "cause", "upload", "timeout_s", "begun_at", "kind", "hosts",
-                 "waiting", "touched", "streams")
+                 "waiting", "touched", "streams", "start_by")
 
     def __init__(self, request: str, number: int, server: str, payload: bytes, sent_at: float,
                  upload: Upload | None = None, kind: str = "") -> None:
         self.request, self.number, self.server, self.kind = request, number, server, kind
         self.payload, self.sent_at, self.upload = payload, sent_at, upload
-        self.timeout_s = 0.0
+        self.timeout_s, self.start_by = 0.0, math.inf  # not begun by then, it does not begin
         self.begun_at: float | None = None  # when its answer's head had come
         self.hosts: Hosts | None = None
         self.link: Link | None = None
@@ -80,15 +81,16 @@
         self.loop, self._owner = loop, owner
         self.pool = Pool(loop, most, dial_ms, idle_ms, self, use, **how)
 
-    def send(self, attempt: Attempt, timeout_s: float) -> None:
-        """Write an attempt to an idle link, or to the first that is up or free."""
+    def send(self, attempt: Attempt, timeout_s: float, start_s: float = math.inf) -> None:
+        """Write an attempt to an idle link, or to the first that is up or free; past `start_s` to none."""
         attempt.hosts, attempt.timeout_s, attempt.waiting = self, timeout_s, True
+        attempt.start_by = self.loop.time() + start_s
         if attempt.upload is None:
             attempt.timer = self.loop.call_later(timeout_s, self._overdue, attempt)
         self.pool.want(attempt.server, attempt)
         if attempt.waiting:
             wait_s = min(self.pool.wait_s(), timeout_s) + 2 * GRACE_S  # a dial of its own ends before that
-            attempt.wait_timer = self.loop.call_later(wait_s, self._waited_enough, attempt)
+            attempt.wait_timer = self.loop.call_later(min(wait_s, start_s), self._waited_enough, attempt)
 
     def cancel(self, attempt: Attempt) -> None:
         """Give an attempt up by ending its link."""
@@ -98,6 +100,10 @@
 
     def linked(self, attempt: Attempt, link: Link) -> None:
         """Its link is there: write it."""
+        if self.loop.time() > attempt.start_by:  # we stalled, and the link came before the timer
+            self.pool.free(link, reusable=True)
+            self.unlinked(attempt, api.MOOT, "too late to begin")
+            return
         self._stop_waiting(attempt)
         attempt.link, attempt.touched = link, True
         attempt.idle_s = self.loop.time() - link.idle_since if link.idle_since else None
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -916,12 +916,22 @@
         """The rules on repeats, for one server: whether what may have run elsewhere may be sent to it."""
         if held.cls.effect == "unsafe":
             return False
-        if self.now - risky[0].sent > held.cls.window_ms - 2 * self.s.tick_ms:
+        if self._key_left(held) < 0:
             return False
         scope = held.cls.key_scope
         return scope == "all" or all(
             a.host.zone == host.zone and (scope == "zone" or a.host.cell == host.cell) for a in risky)
 
+    def _key_left(self, held: _Held) -> float:
+        """How long its key is remembered yet: from the first send that may have run.
+
+        Danger: a send that is decided inside its window may wait for a connection until past it.
+        """
+        if held.cls.effect != "keyed":
+            return math.inf
+        sent = next((a.sent for a in held.attempts if a.ran), math.inf)
+        return held.cls.window_ms - 2 * self.s.tick_ms - (self.now - sent)
+
     def _send(self, held: _Held, host: _Host) -> None:
         """One attempt, given up when it can no longer be in time, or when it is better asked for again.
 
@@ -933,6 +943,7 @@
         if (self.lost > LOST and held.req.kept and held.cls.effect != "unsafe" and self.bank >= 1
                 and len(held.attempts) + 1 < held.most and early + self._usual(held) < timeout):
             timeout = early
+        self.out.append(api.Send(held.req.id, host.name, timeout, self._key_left(held)))
         attempt = _Attempt(host)
         host.linked = max(host.linked - 1, 0) if self.now < host.linked_until else 0
         held.attempts.append(attempt)
@@ -942,7 +953,6 @@
             host.credit -= held.work
         else:
             self.warm_work += held.work
-        self.out.append(api.Send(held.req.id, host.name, timeout))
 
     def _answer(self, held: _Held) -> None:
         """The final answer of a request that will not be served."""
