Withdraw what waits for a link when its client leaves, also where settings forbid to cancel

Need: no attempt begins more than 0.1 s after its client has gone, whatever the settings. Found by reading every path that ends a request: where bounds.cancel is false the module sends no Cancel at ClientLeft, Core.left ended only attempts with long bodies, and a dial that came up within its 250 ms wrote the request of a client who had left. A test that holds the dial until the client has left saw it at the server. Ruled out for bounds.cancel true: there the module's Cancel takes it out of its line. Core._close takes every attempt that still waits out of its line, at every end of a request.

--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -113,6 +113,27 @@
     on_loop(scenario)
 
 
+def test_nothing_begins_once_the_client_has_left_though_the_settings_forbid_to_cancel(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """A link that comes up for a client who left is kept for the next one, in either order of the two."""
+    async def scenario() -> None:
+        host = Fake(lambda seen: reply(b"served"))
+        core, script = await core_with(monkeypatch, host)
+        script.plan[api.Request] = [api.Send("r1", "s-0", 5000)]
+        rid = core.request(Answers(), an_order())  # its dial is under way: the loop has not turned yet
+        core.left(rid)
+        assert script.outcomes() == [api.CANCELLED] and not core._requests
+        assert [e.final for e in script.events if isinstance(e, api.Outcome)] == [True]
+        client = Answers()
+        script.plan[api.Request] = [api.Send("r2", "s-0", 1000)]
+        head = an_order().head.replace(b"Id: a", b"Id: b")
+        core.request(client, dataclasses.replace(an_order(), head=head))
+        assert await client.got.get() == 200
+        assert [seen.headers["x-request-id"] for seen in host.seen] == ["b"]
+        host.stop()
+    on_loop(scenario)
+
+
 def test_a_module_that_raises_loses_one_request_only(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario() -> None:
         host = Fake(lambda seen: reply(b"served"))
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -369,6 +369,11 @@
         self._owed -= request.taken
         if request.guard is not None:
             request.guard.cancel()
+        for attempt in request.attempts:
+            # What waits for its link has not begun, so no server need be asked to let go of it: settings that
+            # forbid that say nothing of this.
+            if attempt is not None and attempt.waiting:
+                self._hosts.cancel(attempt)
         self._forget(request)
 
     def _forget(self, request: _Open) -> None:
