Tell a server the time that is left when its request is written, not when it was decided

Attempt.tell_time completes the head as it is written; the time-out itself ran from the decision before and does now.

--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -159,6 +159,18 @@
     assert fleet.after(0.1).ends[-1] == ("b", api.OK) and len(server.requests) == 2
 
 
+def test_a_server_is_told_the_time_that_is_left_when_its_request_is_written() -> None:
+    """Of 500 ms 100 went on the dial; what goes over the idle link at once has all of it."""
+    fleet = Fleet()
+    server = fleet.server(1, dial_s=0.1)
+    for rid, body in (("a", b"long"), ("b", b"")):
+        fleet.hosts.send(Attempt(rid, 0, "s1", b"GET /%b HTTP/1.1\r\n" % rid.encode(), 0.0, body=body), 0.5)
+        fleet.after(0.2)
+    first, second = server.requests
+    assert first == b"GET /a HTTP/1.1\r\nX-Deadline: 400m\r\n\r\nlong"
+    assert second == b"GET /b HTTP/1.1\r\nX-Deadline: 500m\r\n\r\n"
+
+
 def test_a_link_given_back_serves_who_waits_before_a_dial_does() -> None:
     fleet = Fleet()
     server = fleet.server(1, answer_s=0.02)
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -412,9 +412,8 @@
         order = request.order
         left_s = min(left_s, order.time_left_ms / 1000)  # of a long body, whose time does not run yet
         wait_s = min(act.timeout_ms / 1000, left_s) if act.timeout_ms else left_s
-        payload = b"%bX-Deadline: %dm\r\n\r\n%b" % (order.head, max(wait_s * 1000, 1), order.body)
-        attempt = Attempt(act.request, number, act.server, payload, time.monotonic(), order.upload,
-                          order.cls.name)
+        attempt = Attempt(act.request, number, act.server, order.head, time.monotonic(), order.upload,
+                          order.cls.name, order.body)
         request.attempts.append(attempt)
         request.out += 1
         self._hosts.send(attempt, max(wait_s, 0.0), act.start_ms / 1000)
--- a/yewstage/net/hosts.py
+++ b/yewstage/net/hosts.py
@@ -36,13 +36,15 @@
 
     __slots__ = ("request", "number", "server", "payload", "sent_at", "link", "timer", "wait_timer", "done",
                  "idle_s", "result", "took_s", "cause", "upload", "timeout_s", "begun_at", "kind", "hosts",
-                 "waiting", "touched", "streams", "start_by")
+                 "waiting", "touched", "streams", "start_by", "asked_at", "body")
 
     def __init__(self, request: str, number: int, server: str, payload: bytes, sent_at: float,
-                 upload: Upload | None = None, kind: str = "") -> None:
+                 upload: Upload | None = None, kind: str = "", body: bytes | None = None) -> None:
         self.request, self.number, self.server, self.kind = request, number, server, kind
-        self.payload, self.sent_at, self.upload = payload, sent_at, upload
-        self.timeout_s, self.start_by = 0.0, math.inf  # not begun by then, it does not begin
+        # Where there is a body, `payload` lacks the time that is left: it is told when it is written.
+        self.payload, self.body, self.sent_at, self.upload = payload, body, sent_at, upload
+        self.timeout_s, self.asked_at = 0.0, 0.0
+        self.start_by = math.inf  # not begun by then, it does not begin
         self.begun_at: float | None = None  # when its answer's head had come
         self.hosts: Hosts | None = None
         self.link: Link | None = None
@@ -68,6 +70,14 @@
         """There is a link for it."""
         self.hosts.linked(self, link)
 
+    def tell_time(self, now: float) -> None:
+        """Complete the head: how long this attempt will be waited for yet, 1 ms at the least."""
+        if self.body is not None:
+            waited_s = 0.0 if self.upload is not None else now - self.asked_at  # a long body's starts later
+            left_ms = max((self.timeout_s - waited_s) * 1000, 1)
+            self.payload = b"%bX-Deadline: %dm\r\n\r\n%b" % (self.payload, left_ms, self.body)
+            self.body = None
+
     def unlinked(self, result: str, cause: str) -> None:
         """There will be none."""
         self.hosts.unlinked(self, result, cause)
@@ -84,7 +94,8 @@
     def send(self, attempt: Attempt, timeout_s: float, start_s: float = math.inf) -> None:
         """Write an attempt to an idle link, or to the first that is up or free; past `start_s` to none."""
         attempt.hosts, attempt.timeout_s, attempt.waiting = self, timeout_s, True
-        attempt.start_by = self.loop.time() + start_s
+        attempt.asked_at = self.loop.time()
+        attempt.start_by = attempt.asked_at + start_s
         if attempt.upload is None:
             attempt.timer = self.loop.call_later(timeout_s, self._overdue, attempt)
         self.pool.want(attempt.server, attempt)
@@ -100,13 +111,15 @@
 
     def linked(self, attempt: Attempt, link: Link) -> None:
         """Its link is there: write it."""
-        if self.loop.time() > attempt.start_by:  # we stalled, and the link came before the timer
+        now = self.loop.time()
+        if now > attempt.start_by:  # we stalled, and the link came before the timer
             self.pool.free(link, reusable=True)
             self.unlinked(attempt, api.MOOT, "too late to begin")
             return
         self._stop_waiting(attempt)
         attempt.link, attempt.touched = link, True
-        attempt.idle_s = self.loop.time() - link.idle_since if link.idle_since else None
+        attempt.idle_s = now - link.idle_since if link.idle_since else None
+        attempt.tell_time(now)
         link.begin(attempt)
 
     def unlinked(self, attempt: Attempt, result: str, cause: str) -> None:
