Ask discovery again in time for what counts as told, however large the fleet

Need: a change counts as told 6 s after discovery had it and could be reached, whatever is allowed after a failed, refused or given-up call; where lists are pushed, at once. Found by reading: after a failure a gateway of a fleet of 200 rested up to 20 s, then up to 50; one of 30 up to 3 and 7.5; and a silent call of a new process was waited for 2 s. Discovery now goes by a Patience: 2 s of silence and 3 s of rest where it is a service for all (0.5 s the first time), 0.75 and 0.2 s where it is an agent on the own machine. A call is given up one turn of the loop later, after what has come is read.

--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -19,7 +19,7 @@
 from yewstage.net.budget import Budget
 from yewstage.net.config import Config
 from yewstage.net.counter import Counter
-from yewstage.net.discovery import Discovery, Listing
+from yewstage.net.discovery import ASKED, PUSHED, Discovery, Listing
 from yewstage.net.hosts import Attempt, Hosts
 from yewstage.net.http1 import Reply, Upload
 from yewstage.net.pool import Source
@@ -134,7 +134,7 @@
         self._discovery = Discovery(loop, config.discovery, self._listed,
                                     config.known.generation if config.known.servers else None,
                                     config.settings.fleet_size, random.Random(config.seed),
-                                    uses["discovery"])
+                                    uses["discovery"], ASKED if config.settings.must_ask else PUSHED)
         self._counter = (Counter(loop, config.counter, config.settings.count_wait_ms, self._post,
                                  uses["counter"])
                          if config.counter is not None else None)
--- a/yewstage/net/discovery.py
+++ b/yewstage/net/discovery.py
@@ -18,12 +18,28 @@
 
 WAIT_MS = 20000
 LOOK_MS = 50  # the first watch of a list that is known: what is new is wanted now
-SILENT_S = 2.0  # how long an answer may be overdue before the connection is given up
-BACKOFF_S, BACKOFF_MAX_S = 0.1, 0.25  # for each gateway of the fleet: all may be turned away at one moment
-BACKOFF_LEAST_S = 2.0  # the longest rest of a small fleet
+GRACE_S = 0.002  # a turn of the loop or two, in which what has arrived is read before silence counts
+BACKOFF_S = 0.1  # for each gateway of the fleet: all may be turned away at one moment
 STATES = {"ready": "up", "draining": "draining", "gone": "removed"}
 
 
+@dataclass(slots=True, frozen=True)
+class Patience:
+    """How long discovery may keep us without word, in seconds."""
+
+    silent_s: float  # how long an answer or a connection may be overdue before it is given up
+    first_s: float  # the longest rest after a first failure
+    rest_s: float  # and after those that follow
+
+
+# A change counts as told 6 s after discovery had it and could be reached: `silent_s` and `rest_s` leave a
+# second of that. A watch that fell silent counts as told 2 s after its wait: it is opened anew soon after that.
+ASKED = Patience(silent_s=2.0, first_s=0.5, rest_s=3.0)
+# An agent on our own machine answers at once and at no cost, and what it has counts as told: both together
+# are under the second that the settings leave for the last sends to a server that drains.
+PUSHED = Patience(silent_s=0.75, first_s=0.2, rest_s=0.2)
+
+
 @dataclass(slots=True, frozen=True)
 class Listing:
     """One answer of discovery: hosts by instance id, and where to dial them."""
@@ -72,13 +88,15 @@
     """Keeps one watch going and hands on each answer.
 
     Guards a service that serves the whole fleet, most of which may start or be turned away at one moment:
-    what is known is not asked for again, and all come back at times of their own.
+    what is known is not asked for again, and all come back at times of their own, spread over what `Patience`
+    allows.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int],
                  told: Callable[[Listing], None], known: int | None = None, fleet_size: int = 1,
-                 rng: random.Random | None = None, use: Use | None = None) -> None:
-        self._use = use or Use()
+                 rng: random.Random | None = None, use: Use | None = None, patience: Patience = ASKED
+                 ) -> None:
+        self._use, self._patience = use or Use(), patience
         self._loop, self._address, self._told = loop, address, told
         self._generation = known  # of the list that we have; None: the whole list is wanted
         self._heard = False
@@ -122,7 +140,8 @@
         if self._connection is not None:
             self._write(self._connection)
             return
-        self._dial = Dial(self._loop, lambda: _Watch(self), self._address, SILENT_S, self._use, self._dialled)
+        self._dial = Dial(self._loop, lambda: _Watch(self), self._address, self._patience.silent_s, self._use,
+                          self._dialled)
 
     def _dialled(self, connection: _Watch | None, cause: str) -> None:
         self._dial = None
@@ -138,14 +157,18 @@
     def _write(self, connection: _Watch) -> None:
         wait_ms = 0 if self._generation is None else WAIT_MS if self._heard else LOOK_MS
         query = "" if self._generation is None else f"?after={self._generation}&wait_ms={wait_ms}"
-        self._watch_silence(wait_ms / 1000 + SILENT_S)
+        self._watch_silence(wait_ms / 1000 + self._patience.silent_s)
         connection.waiting = True
         connection.write(f"GET /v1/endpoints{query} HTTP/1.1\r\nHost: discovery\r\n\r\n".encode())
 
     def _watch_silence(self, seconds: float) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = self._loop.call_later(seconds, self._given_up)
+        self._timer = self._loop.call_later(seconds, self._overdue)
+
+    def _overdue(self) -> None:
+        # Guards against our own stall: the answer may be here and unread.
+        self._timer = self._loop.call_later(GRACE_S, self._given_up)
 
     def _given_up(self) -> None:
         # Guards against an agent that is silent for good: without this the watch would hang on one socket.
@@ -195,9 +218,10 @@
         self._timer = self._loop.call_later(self._rest_s(), self._ask)
 
     def _rest_s(self) -> float:
-        """Full jitter over a span that grows with the fleet: what all ask in a second does not."""
+        """Full jitter over a span that grows with the fleet and with failures, as far as patience allows."""
         span = BACKOFF_S * self._fleet_size * 2 ** min(self._failures - 1, 10)
-        return self._rng.random() * min(span, max(BACKOFF_MAX_S * self._fleet_size, BACKOFF_LEAST_S))
+        longest = self._patience.first_s if self._failures == 1 else self._patience.rest_s
+        return self._rng.random() * min(span, longest)
 
 
 class _Watch(ReplyProtocol):
