Refuse what comes whole after the last answers of a drain, instead of beginning it

Need: what SIGKILL finds unanswered is lost. Found by reading: a drain answers all that is open 0.4 s after the longest deadline (3 s at the most) and SIGKILL may come 0.3 s later; a client that writes its request slowly could complete it in between, and it was sent on. Core refuses it at once now, counted under gateway_refusals_total{reason="ending"}.

--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -117,6 +117,26 @@
     on_loop(scenario)
 
 
+def test_what_comes_whole_after_the_last_answers_of_a_drain_is_refused_and_not_begun(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """Between the answers that a drain ends with and SIGKILL nothing could be answered in time."""
+    async def scenario() -> None:
+        host = Fake(lambda seen: None)
+        core, script = await core_with(monkeypatch, host)
+        early, late = Answers(), Answers()
+        script.plan[api.Request] = [api.Send("r1", "s-0", 5000)]
+        core.request(early, an_order())
+        await host.until(lambda fake: bool(fake.seen))
+        core.fail_all()
+        assert early.got.get_nowait() == 504
+        count = len(script.events)
+        core.request(late, an_order())  # its first bytes came while the drain still took some
+        assert late.got.get_nowait() == 503 and len(script.events) == count and not core._claims
+        assert core.stats.requests() == 2
+        host.stop()
+    on_loop(scenario)
+
+
 def test_nothing_begins_once_the_client_has_left_though_the_settings_forbid_to_cancel(
         monkeypatch: pytest.MonkeyPatch) -> None:
     """A link that comes up for a client who left is kept for the next one, in either order of the two."""
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -156,7 +156,7 @@
         self._beat_due = time.monotonic() + BEAT_S
         self._heard = False  # discovery has answered in this life
         self.more_figures: Callable[[], Mapping[str, float]] = dict  # of parts beside this one
-        self.draining = False
+        self.draining = self._over = False  # SIGTERM has come; all is answered, nothing is begun any more
         self.shared = False  # with another process: each has half of the descriptors
 
     def _recorded(self) -> Record:
@@ -273,7 +273,8 @@
         return self.stats.farewell(self._pool.dials())
 
     def fail_all(self) -> None:
-        """Answer all that is open as failed: the process is about to end."""
+        """Answer all that is open as failed: the process is about to end, and begins nothing more."""
+        self._over = True
         for request in list(self._requests.values()):
             self._give_up(request)
 
@@ -305,6 +306,11 @@
         """Take a request; its id tells `left` which one is meant."""
         self._serial += 1
         rid = f"r{self._serial}"
+        if self._over:  # danger: SIGKILL would find it unanswered
+            self.stats.ended(order.cls.name, 503)
+            self.stats.refused("ending")
+            client.answer(503, retry_after_ms=self.settings.max_retry_after_ms)
+            return rid
         # The client's time runs from when it sent the request, not from when we came to read it.
         now = time.monotonic()
         left_ms = order.time_left_ms - TRANSIT_MS - self._behind_ms(now)
--- a/yewstage/net/stats.py
+++ b/yewstage/net/stats.py
@@ -13,7 +13,7 @@
 
 
 # Why the module refuses, in its words; any other is counted as it comes.
-REASONS = ("quota", "ceiling", "pressed", "too late", "no host", "unservable", "gave up")
+REASONS = ("quota", "ceiling", "pressed", "too late", "no host", "unservable", "gave up", "ending")
 USES = ("clients", "servers", "counter", "discovery", "ops")
 SHORT_CAUSES = ("server", "client", "no_room", "answered")
 STATM = "/proc/self/statm"
