Name every field of the settings that is missing, of a wrong type or out of range

Need: another deployment's settings with a field missing, of a wrong type or out of range get one line that names the field and status 2 at the start; at SIGHUP the line is logged and the running settings stay.

yewstage/net/fields.py holds type and range of each field that is read, one table for start and SIGHUP; config.py loses what it had of that. Fields without a safe default must be there.

--- /dev/null
+++ b/tests/test_fields.py
@@ -0,0 +1,115 @@
+"""Another deployment's settings: what is missing, of a wrong type or out of range is named by its path."""
+
+from __future__ import annotations
+
+import copy
+import json
+
+import pytest
+
+from yewstage.net import fields
+from yewstage.net.config import Config, ConfigError, load, parse, reload
+from yewstage.net.discovery import parse_listing
+
+SETTINGS = {
+    "grades": [{"name": "view", "objective_ms": 1500.0, "deadline_ms": 4000.0, "worth": 1.0,
+                "late_worth": 0.0, "effect": "safe", "key_scope": "all", "window_ms": 5000.0},
+               {"name": "send", "objective_ms": 1500.0, "deadline_ms": 4000.0, "worth": 1.0,
+                "late_worth": 0.5, "effect": "keyed", "key_scope": "cell", "window_ms": 5000.0}],
+    "packages": [{"name": "basic", "burst": 16.0, "ceiling_rate": 7.9, "hard_burst": 66.0, "over_cost": 0.8,
+                  "over_worth": 0.0, "parallel": 2, "refill": 1.9, "tolerance": 8.0, "worth_factor": 0.8}],
+    "fleet_size": 4, "me": 1, "zone": "a", "zones": ["a"], "tick_ms": 2.0, "membership_mode": "on_request",
+    "bounds": {"try_limit": 3, "cancel": True, "retry_after": True, "max_retry_after_ms": 1000.0,
+               "dial_timeout_ms": 250.0, "conn_idle_ms": 15000.0, "second_copies": False},
+    "clients": {"marks_retry": True}, "family_info": {"may_count": True, "count_wait_ms": 50.0},
+    "penalties": {"handshake": 0.08},
+    "rules": {"cold_from": 0.26, "cold_ms": 17000.0, "fall_multiple": 3.0, "tip_after_ms": 1500.0}}
+WHOLE_FILE = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "8c1f", "counter": "127.0.0.1:9"}
+LISTED = {"instanceId": "s", "hostPort": "127.0.0.1:5", "zone": "a", "cell": 0, "lifecycle": "ready"}
+WRONG = ["", "x", "1", None, -1, -1e9, 1e300, float("nan"), float("inf"), 10 ** 400, [], {}, [1], {"a": 1}]
+WHOLE = ("fleet_size", "me", "try_limit", "parallel")
+MISSING = ["grades", "grades[0].name", "grades[1].objective_ms", "grades[0].deadline_ms", "grades[0].effect",
+           "grades[1].key_scope", "grades[1].window_ms", "packages", "packages[0].name", "packages[0].burst",
+           "packages[0].hard_burst", "fleet_size", "me", "rules.cold_from", "rules.cold_ms",
+           "rules.fall_multiple", "rules.tip_after_ms"]
+
+
+def configured(settings: object) -> Config:
+    return parse({**WHOLE_FILE, "settings": settings})
+
+
+def at(path: str) -> tuple[dict, dict, str]:
+    """A copy of the settings, the object in it that holds a field, and the field."""
+    tree = copy.deepcopy(SETTINGS)
+    *way, last = path.replace("[", ".").replace("]", "").split(".")
+    holder = tree
+    for key in way:
+        holder = holder[int(key)] if key.isdigit() else holder[key]
+    return tree, holder, last
+
+
+def read_fields() -> list[str]:
+    """The paths of all fields that a gateway reads."""
+    return [*fields.OWN, *(f"{group}.{key}" for group, keys in fields.GROUPS.items() for key in keys),
+            *(f"grades[1].{key}" for key in fields.CLASS), *(f"packages[0].{key}" for key in fields.PLAN)]
+
+
+@pytest.mark.parametrize("path", [*read_fields(), "grades", "packages"])
+def test_a_value_of_a_wrong_type_or_out_of_range_is_named(path: str) -> None:
+    tree, holder, last = at(path)
+    assert configured(tree).settings.fleet_size == 4
+    wrong = [value for value in WRONG if not (last == "name" and isinstance(value, str) and value)]
+    wrong += [7 if isinstance(holder[last], bool | str) else True, *([0.5] if last in WHOLE else [])]
+    for value in wrong:
+        holder[last] = value
+        with pytest.raises(ConfigError) as caught:
+            configured(tree)
+        assert str(caught.value).startswith(f"settings: {path}: ") and "\n" not in str(caught.value)
+
+
+@pytest.mark.parametrize("path", MISSING)
+def test_what_has_no_safe_default_must_be_there(path: str) -> None:
+    tree, holder, last = at(path)
+    del holder[last]
+    with pytest.raises(ConfigError, match="is missing$") as caught:
+        configured(tree)
+    assert str(caught.value) == f"settings: {path}: is missing"
+
+
+def test_names_are_told_apart_and_a_place_lies_in_its_fleet() -> None:
+    for path, value, said in (("grades[1].name", "view", "grades[1].name: two have the name 'view'"),
+                              ("me", 4, "me: must be under fleet_size, which is 4"),
+                              ("fleet_size", 1, "me: must be under fleet_size, which is 1")):
+        tree, holder, last = at(path)
+        holder[last] = value
+        with pytest.raises(ConfigError) as caught:
+            configured(tree)
+        assert str(caught.value) == f"settings: {said}"
+
+
+def test_a_bad_file_at_sighup_is_turned_down_by_the_same_words(tmp_path) -> None:
+    path = tmp_path / "config.json"
+    tree, holder, last = at("packages[0].refill")
+    path.write_text(json.dumps({**WHOLE_FILE, "settings": SETTINGS}))
+    environ = {"ROUTER_CONFIG": str(path)}
+    first = load(environ)
+    holder[last] = "plenty"
+    path.write_text(json.dumps({**WHOLE_FILE, "settings": tree}))
+    with pytest.raises(ConfigError) as caught:
+        reload(environ, first)
+    assert str(caught.value) == "settings: packages[0].refill: 'plenty' is not a number from 0 to 1e+12"
+
+
+@pytest.mark.parametrize(("key", "value"), [
+    ("lifecycle", []), ("lifecycle", {}), ("lifecycle", None), ("lifecycle", 1)])
+def test_a_lifecycle_that_is_no_word_gets_no_new_work(key: str, value: object) -> None:
+    listing = parse_listing({"generation": 1, "reset": True, "instances": [{**LISTED, key: value}]})
+    assert listing.servers[0].status == "draining"
+
+
+@pytest.mark.parametrize(("key", "value"), [
+    ("weight", float("nan")), ("weight", "inf"), ("weight", []), ("startedAtMs", float("inf")),
+    ("cell", 1e400)])
+def test_a_listing_with_no_finite_number_is_refused_whole(key: str, value: object) -> None:
+    with pytest.raises(ValueError, match="^s: cell, weight or startedAtMs is not a number$"):
+        parse_listing({"generation": 1, "reset": True, "instances": [{**LISTED, key: value}]})
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -417,6 +417,7 @@
         told_ms: float | None, aim_ms: float, wait_ms: float) -> None:
     raw = {"listen": f"{LOOP}:1", "discovery": f"{LOOP}:2", "seed": "1", "settings": {
         "grades": [{**GRADES[0], "objective_ms": aim_ms}, {**GRADES[1], "objective_ms": 5500.0}],
+        "packages": PACKAGES,
         "family_info": {} if told_ms is None else {"count_wait_ms": told_ms}}}
     assert parse(raw).settings.count_wait_ms == pytest.approx(wait_ms)
 
--- a/yewstage/net/config.py
+++ b/yewstage/net/config.py
@@ -13,6 +13,7 @@
 from yewstage import interface as api
 from yewstage import wire
 from yewstage.log import FORMATS
+from yewstage.net import fields
 from yewstage.net.discovery import Listing, parse_listing
 
 if TYPE_CHECKING:
@@ -24,12 +25,9 @@
 # For the process's life.
 STEADY = {"name": "ROUTER_NAME", "listen": "ROUTER_LISTEN", "ops": "ROUTER_OPS", "log": "ROUTER_LOG"}
 CALL_SHARE = 0.06  # of the shortest aim: what a call to the counter may take, where its own time is shorter
-# Of connections to servers: what holds if nothing is said, and the least that makes sense.
-LINKS = (("bounds.dial_timeout_ms", 250.0, 1.0), ("bounds.conn_idle_ms", 15000.0, 1.0),
-         ("penalties.handshake", 0.0, 0.0))
+DIAL_MS, IDLE_MS = 250.0, 15000.0  # of connections to servers, where nothing is said
 DEFAULT_MEMORY_MB, LEAST_MEMORY_MB = 192, 24  # an idle gateway takes 14
 DEFAULT_UPLOAD_MB, LEAST_UPLOAD_MB = 32, 0.0625  # what is kept whole is no long body
-LARGEST = 1e12  # no time in milliseconds and no count is larger
 
 
 class ConfigError(ValueError):
@@ -75,7 +73,6 @@
     missing = sorted(first.keys - keys)
     if missing:
         raise ConfigError(f"{missing[0]}: is missing")
-    _check_classes(_object(raw, "settings"))
     return _parse(raw, environ, STEADY, keys)
 
 
@@ -117,8 +114,8 @@
 
 def parse(raw: dict[str, object], listen_fd: int | None = None, keys: frozenset[str] = frozenset()) -> Config:
     """The object of the file as a `Config`."""
-    links = _links(_object(raw, "settings"))
-    settings = _settings(dict(_flatten("", _object(raw, "settings"))))
+    told = _object(raw, "settings")
+    settings, bounds = _settings(told), told.get("bounds", {})
     settings = dataclasses.replace(settings, record=raw.get("holding") is not None,
                                    plans=_shares(raw, settings.plans))
     counter = raw.get("counter")
@@ -133,7 +130,8 @@
         counter=address(raw, "counter") if counter else None,
         ops=address(raw, "ops") if raw.get("ops") else None, listen_fd=listen_fd, seed=_seed(raw),
         sockets=_sockets(raw), settings=settings, known=known, keys=keys,
-        dial_ms=links["dial_timeout_ms"], idle_ms=links["conn_idle_ms"],
+        dial_ms=float(bounds.get("dial_timeout_ms", DIAL_MS)),
+        idle_ms=float(bounds.get("conn_idle_ms", IDLE_MS)),
         memory_mb=_limit(raw, "memory_mb", DEFAULT_MEMORY_MB, LEAST_MEMORY_MB),
         longest_upload=int(_limit(raw, "upload_mb", DEFAULT_UPLOAD_MB, LEAST_UPLOAD_MB) * 2 ** 20),
         log=_log(raw), holding=_addresses(raw, "holding"), peers=_peers(raw))
@@ -191,7 +189,8 @@
     for key in sorted(set(mode) - {"mode"} ^ wanted):
         raise ConfigError(f"{field}.{key}: {'is missing' if key in wanted else 'is no field of this'}")
     for key in sorted(wanted):
-        _above_zero(mode[key], f"{field}.{key}")
+        if wrong := fields.above_zero(mode[key]):
+            raise ConfigError(f"{field}.{key}: {wrong}")
     return {key: float(mode[key]) for key in wanted}
 
 
@@ -210,38 +209,6 @@
     return style
 
 
-def _check_classes(settings: dict[str, object]) -> None:
-    """Classes and attempts must say what they are: a default would promise too much, or be taken for zero."""
-    grades = settings.get("grades")
-    if not isinstance(grades, list) or not grades or not all(isinstance(grade, dict) for grade in grades):
-        raise ConfigError("settings: grades: must be a list of classes")
-    for i, grade in enumerate(grades):
-        wanted = ["name", "objective_ms", "deadline_ms", "effect"]
-        if grade.get("effect") == "keyed":
-            wanted += ["key_scope", "window_ms"]
-        for key in wanted:
-            if grade.get(key) is None:
-                raise ConfigError(f"settings: grades[{i}].{key}: is missing")
-        for key in ("objective_ms", "deadline_ms"):
-            _above_zero(grade[key], f"settings: grades[{i}].{key}")
-    names = [grade["name"] for grade in grades]
-    if not all(isinstance(name, str) and name and name.isascii() and name.isprintable() for name in names):
-        raise ConfigError("settings: grades: every class needs a name in plain characters")
-    if len(set(names)) < len(names):
-        raise ConfigError("settings: grades: two classes have one name")
-    bounds = settings.get("bounds")
-    if isinstance(bounds, dict) and "try_limit" in bounds:
-        _above_zero(bounds["try_limit"], "settings: bounds.try_limit")
-        if bounds["try_limit"] != int(bounds["try_limit"]):
-            raise ConfigError("settings: bounds.try_limit: must be a whole number")
-
-
-def _above_zero(value: object, field: str) -> None:
-    number = isinstance(value, (int, float)) and not isinstance(value, bool)
-    if not number or not 0 < value < LARGEST:
-        raise ConfigError(f"{field}: {value!r} is not a number above 0")
-
-
 def _object(raw: Mapping[str, object], field: str) -> dict[str, object]:
     value = raw.get(field)
     if not isinstance(value, dict):
@@ -267,9 +234,10 @@
         yield path, str(value)
 
 
-def _settings(pairs: dict[str, str]) -> api.Settings:
+def _settings(told: dict[str, object]) -> api.Settings:
     try:
-        settings = wire.settings([f"{key}={value}" for key, value in pairs.items()])
+        fields.check(told)
+        settings = wire.settings([f"{key}={value}" for key, value in _flatten("", told)])
         settings.check()
     except ValueError as error:
         raise ConfigError(f"settings: {error}") from None
@@ -281,20 +249,6 @@
     return max(settings.count_wait_ms, CALL_SHARE * min(c.aim_ms for c in settings.classes))
 
 
-def _links(settings: dict[str, object]) -> dict[str, float]:
-    """What the settings say of connections to servers: how long they may be idle and dialled, their price."""
-    told = {}
-    for path, default, least in LINKS:
-        part, key = path.split(".")
-        group = settings.get(part)
-        value = group.get(key, default) if isinstance(group, dict) else default
-        number = isinstance(value, (int, float)) and not isinstance(value, bool)
-        if not number or not least <= value < LARGEST:
-            raise ConfigError(f"settings: {path}: {value!r} is not a number of {least:g} or more")
-        told[key] = float(value)
-    return told
-
-
 def _seed(raw: Mapping[str, object]) -> int:
     try:
         return int(str(raw.get("seed", "")), 16)
@@ -305,9 +259,8 @@
 def _limit(raw: Mapping[str, object], name: str, default: float, least: float) -> float:
     limits = raw.get("limits") or {}
     value = limits.get(name, default) if isinstance(limits, dict) else None
-    number = isinstance(value, (int, float)) and not isinstance(value, bool)
-    if not number or not least <= value < LARGEST:
-        raise ConfigError(f"limits.{name}: {value!r} is not a number of {least:g} or more")
+    if wrong := fields.at_least(least)(value):
+        raise ConfigError(f"limits.{name}: {wrong}")
     return value
 
 
--- a/yewstage/net/discovery.py
+++ b/yewstage/net/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -71,7 +72,8 @@
         raise ValueError("an instance without instanceId")
     name = entry["instanceId"]
     # Guards against a state that a later discovery may add: what is not known to be ready gets no new work.
-    status = STATES.get(entry.get("lifecycle"), "draining")
+    lifecycle = entry.get("lifecycle")
+    status = STATES.get(lifecycle, "draining") if isinstance(lifecycle, str) else "draining"
     host, _, port = str(entry.get("hostPort", "")).rpartition(":")
     if status != "removed" and not (host and port.isascii() and port.isdigit() and int(port) < 65536):
         raise ValueError(f"{name}: hostPort {entry.get('hostPort')!r} is not HOST:PORT")
@@ -79,7 +81,9 @@
         # The module's clock is Unix time in milliseconds, so startedAtMs needs no more than reading.
         server = api.Server(name, str(entry.get("zone", "")), int(entry.get("cell", 0)), status,
                             float(entry.get("weight", 1.0)), float(entry.get("startedAtMs", 0)))
-    except (TypeError, ValueError):
+        if not (math.isfinite(server.nominal) and math.isfinite(server.up_since_ms)):
+            raise ValueError
+    except (TypeError, ValueError, OverflowError):
         raise ValueError(f"{name}: cell, weight or startedAtMs is not a number") from None
     return server, ((host.strip("[]"), int(port)) if status != "removed" else None)
 
@@ -190,7 +194,7 @@
             listing = parse_listing(json.loads(reply.body))
             if not listing.whole and (self._generation is None or listing.generation < self._generation):
                 raise ValueError("changes to a list that was never sent")
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             log.warning(Event("discovery_bad_answer", "discovery: bad answer, the list is kept: {error}",
                               error=str(error)))
             self._generation = None  # whatever was missed comes with the whole list
