End our sending after a last answer and read on, so that no close resets an answer on its way

Need: bytes may arrive in the very moment in which a gateway closes a connection; a close over unread bytes resets it. Found by reading, shown by a test: 60 kB to a client with a small window, half a request line in the system as the answer is written, and the client got a reset instead of the answer. At fault: _end closed at once where no message was being read. The timer closes instead of aborting: what is not written yet goes on. Ruled out: TCP_NODELAY, which uvloop sets on accepted and dialled sockets.

--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -8,6 +8,7 @@
 import itertools
 import os
 import random
+import socket
 import time
 from collections.abc import Callable
 
@@ -252,6 +253,35 @@
     on_loop(scenario)
 
 
+def test_a_last_answer_arrives_whole_though_bytes_come_in_the_instant_of_its_close(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """A close over bytes that nobody read resets the connection, and with it what is on its way."""
+    async def scenario() -> None:
+        host = Fake(lambda seen: None)
+        core, script = await core_with(monkeypatch, host)
+        server = clients_module.Server(core, asyncio.get_running_loop(), 200)
+        address = server.start((LOOP, 0))
+        server.accept()
+        with socket.socket() as client:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)  # the answer does not fit in it
+            client.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(client, address)
+            await asyncio.get_running_loop().sock_sendall(client, message())
+            while not any(c._open for c in server.connections):
+                await asyncio.sleep(0)
+            core.draining = True
+            client.send(b"GET /half a li")  # it lies unread as the last answer is written and the end begins
+            connection, = server.connections
+            connection.answer(200, b"x" * 60_000)
+            got = b""
+            while piece := await asyncio.get_running_loop().sock_recv(client, 2 ** 16):
+                got += piece
+        assert got.endswith(b"\r\n\r\n" + b"x" * 60_000) and b"Connection: close" in got
+        server.stop_accepting()
+        host.stop()
+    on_loop(scenario)
+
+
 def test_what_brings_no_request_gives_way_before_what_may(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario() -> None:
         host = Fake(lambda seen: None)
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -38,7 +38,7 @@
 SPARE_S = 2.0  # a connection idle for longer gives its place to a new client
 STALE_S = 0.5  # so does one that has not brought a request yet, once nothing came on it for so long
 CROWDED = 0.7  # of the places: from here on no answered client keeps its own
-LINGER_S = 1.0  # how long the rest of a rejected request is read before its connection is closed
+LINGER_S = 1.0  # how long what still comes is read after the last answer, unless the client ends before
 SWEEP_S = 0.2
 DROPPED_S = 1.2  # how long clients may still use a class after it was dropped
 ACCEPT_PAUSE_S = 0.05
@@ -611,18 +611,19 @@
             self._held_out.set(self.transport.get_write_buffer_size())
 
     def _end(self) -> None:
-        """Close after the last answer. What the client still sends is read for a while: a close with unread
-        data resets the connection, and the answer with it."""
+        """End our sending after the last answer; the client's end, or a while, ends the rest.
+
+        Danger: a close over unread bytes resets the connection, and what is on its way with it. So what the
+        client still sends is read.
+        """
         message = self._message
-        if message is None:
-            self._ending = True
-            self._queue.clear()
-            self.transport.close()
-        elif self._ending or message.upload is None or message is not self._taken:
+        if self.transport.is_closing():
+            return
+        if self._ending or message is None or message.upload is None or message is not self._taken:
             self._ending = True
             self._queue.clear()
             self.transport.write_eof()
-            self._server.loop.call_later(LINGER_S, self.transport.abort)
+            self._server.loop.call_later(LINGER_S, self.transport.close)
         else:  # the rest of its body is read and dropped, for a while: see `on_message_complete`
             self._server.loop.call_later(DRAIN_S, self._cut_rest, message)
 
@@ -690,8 +691,9 @@
         return count[0] > 0
 
     def close_if_idle(self) -> None:
-        """Close unless a request is owed its answer, is being read or waits to be read."""
-        if self.idle() and not self.unread():
+        """Close unless a request is owed its answer, is being read or waits to be read; one that ends already
+        is left to that."""
+        if self.idle() and not self._ending and not self.unread():
             self.transport.close()
 
 
