Agree anew on who holds a server when SIGHUP brings a fleet of another size or place

Need: the cold ramp holds for the fleet, also when it grows or shrinks. Ranks and holders follow the new size and place at once now.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -592,6 +592,18 @@
     assert len(load) == 15 and max(load.values()) < 1.5 * 40 * 24 / 15
 
 
+def test_a_fleet_that_grows_or_shrinks_at_sighup_agrees_on_who_holds_a_server() -> None:
+    """Else a server that starts gets the parts of too many gateways, or of none."""
+    def ranks(driver: Driver) -> dict[str, int]:
+        return {name: host.rank for name, host in driver.gateway.hosts.items()}
+
+    for me, size in ((1, 3), (1, 40), (7, 40), (0, 2)):
+        retuned = Driver(servers=30, me=1, fleet_size=3)
+        retuned.give(api.Retuned(settings(me=me, fleet_size=size)))
+        assert ranks(retuned) == ranks(Driver(servers=30, me=me, fleet_size=size))
+        assert retuned.gateway.holders == Driver(servers=30, me=me, fleet_size=size).gateway.holders
+
+
 def test_a_small_fleet_uses_all_servers_from_each_gateway() -> None:
     assert len(sends_of_a_fleet(3, 12, 90)) == 36
     assert len(sends_of_a_fleet(40, 10, 90)) >= 40 * 9  # few servers: none is left to a part of the gateways
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -337,7 +337,10 @@
         same = {name for name, cls in classes.items() if self.classes.get(name) == cls}
         waiting = {cls.name for use in self.uses.values() for _, cls, _, _ in use.asking}
         known = {*classes, *waiting, *(held.cls.name for held in self.held.values())}
+        moved = (settings.me, settings.fleet_size) != (self.s.me, self.s.fleet_size)
         self.s, self.classes = settings, classes
+        for host in self.hosts.values() if moved else ():
+            host.rank = self._rank(host.name)
         self.aim = min(c.aim_ms for c in settings.classes)
         # One that is the same is the same object, by which a customer's use is known.
         self.plans = {p.name: self.plans[p.name] if self.plans.get(p.name) == p else p
@@ -345,6 +348,7 @@
         self.latency = {name: value for name, value in self.latency.items() if name in known}
         self.lefts = {name: recent for name, recent in self.lefts.items() if name in same}
         self.cells = {key: cell for key, cell in self.cells.items() if key[0] in classes}
+        self._share_out()
 
     # --- Upgrades ------------------------------------------------------------------------------------------
 
