--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -309,7 +309,7 @@
         if self._over:  # danger: SIGKILL would find it unanswered
             self.stats.ended(order.cls.name, 503)
             self.stats.refused("ending")
-            client.answer(503, retry_after_ms=self.settings.max_retry_after_ms)
+            client.answer(503, retry_after_ms=self.settings.max_retry_after_ms * self.settings.retry_after)
             return rid
         # The client's time runs from when it sent the request, not from when we came to read it.
         now = time.monotonic()
