Hold the cold ramp to N + 2 x root of N + 2 over fleets of 1 to 120, with gateways killed

Need: the ramp holds for the fleet, and beyond its budget only chance is allowed, with thirty processes as with three. A play of whole fleets on one clock: servers at their full load, one starts cold, all hear of it within a second, seven in ten gateways have just started and know of no load. Every span of the time that tips it is held to the formula.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -547,6 +547,55 @@
     assert 0 < load["h0"] <= 0.5 * sum(load.values()) / 60
 
 
+@pytest.mark.parametrize("gateways", [1, 3, 30, 120])
+@pytest.mark.parametrize("killed", [0.0, 0.7])
+def test_all_gateways_together_keep_a_cold_server_under_what_tips_it(gateways: int, killed: float) -> None:
+    """N + 2 x root of N + 2 in every span that tips it, N being the multiple of what it can do then at least.
+
+    Eight servers bear 10 requests a second each, which is all that they can. The gateways hear of the start
+    within a second of it; a part of them was killed just before and knows of no load yet.
+    """
+    rng, rate, cold_at, end_at = random.Random(7), 80.0, 12.0, 27.0
+    fleet = [Driver(8, seed=me, fleet_size=gateways, me=me, may_count=False) for me in range(gateways)]
+    start = fleet[0].now
+    due = [(start + 1000 * t, "ask") for t in (i / rate for i in range(int(end_at * rate)))]
+    due += [(start + 100.0 * i, "sweep") for i in range(int(10 * end_at))]
+    due.append((start + 1000 * cold_at, "start"))
+    out: deque[tuple[float, Driver, str]] = deque()
+    sent: list[float] = []
+    for at, what in sorted(due):
+        while out and out[0][0] <= at:
+            ends, d, rid = out.popleft()
+            d.now = ends
+            d.end(rid, took=100)
+        for d in fleet:
+            d.now = at
+        if what == "start":
+            for me in range(int(killed * gateways)):
+                fleet[me] = Driver(8, seed=1000 + me, now=at, fleet_size=gateways, me=me, may_count=False)
+            out = deque(item for item in out if item[1] in fleet)
+            told = [(at + 1000 * rng.random(), d) for d in fleet]
+        elif what == "sweep":
+            for d in fleet:
+                d.sweep(every=0)
+            for when, d in told if at >= start + 1000 * cold_at else ():
+                if when <= at < when + 100:
+                    d.give(api.ServerList("changes", (server(0, up_since_ms=start + 1000 * cold_at),)))
+        else:
+            d = rng.choice(fleet)
+            rid, acts = d.ask()
+            for act in of(acts, api.Send):
+                out.append((at + 100, d, rid))
+                sent += [at] * (act.server == "h0" and d.gateway.hosts["h0"].cold_from_ms > 0)
+    span, base = 2000.0, settings()
+    for at in sent:
+        age = max(at - (start + 1000 * cold_at), 0.0)
+        warmth = min(base.cold_from + (1 - base.cold_from) * age / base.cold_ms, 1.0)
+        most = base.fall_multiple * warmth * rate / 8 * span / 1000
+        assert sum(at <= other < at + span for other in sent) <= most + 2 * most ** 0.5 + 2
+    assert len(sent) > 10  # and it gets work
+
+
 def test_a_fleet_that_refuses_a_customer_does_not_fill_the_total_by_asking() -> None:
     """30 gateways, one quota that others use up; in each round all ask at one moment, answered in turn."""
     fleet = [Driver(seed=n, now=a_window_begins(), fleet_size=30) for n in range(30)]
