--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -461,7 +461,7 @@
     loop.run(30.0)
     gaps = [later - at for own in dials for at, later in itertools.pairwise([*own, 30.0])]
     assert ASKED.silent_s + max(gaps) < 5.1  # a call that hangs as discovery returns, then the longest rest
-    rate = size / (ASKED.rest_s / 2)  # of the whole fleet: each rests half of the longest, in the mean
+    rate = size / (ASKED.backoff_s / 2)  # of the whole fleet: each rests half of the longest, in the mean
     late = sorted(at for own in dials for at in own if at >= 3)
     assert len(late) <= 27 * 1.1 * rate
     together = max(sum(at <= dial < at + 0.1 for dial in late) for at in late)
@@ -480,7 +480,7 @@
         first, second = loop.dials[:2]
         assert len(agent.requests) >= 2 and second - first - 0.05 <= within_s
         rests = [later - at - 0.05 - patience.silent_s for at, later in itertools.pairwise(loop.dials)]
-        assert max(rests) <= patience.rest_s + 0.1
+        assert max(rests) <= patience.backoff_s + 0.1
 
 
 class Noting:
--- a/yewstage/net/discovery.py
+++ b/yewstage/net/discovery.py
@@ -29,16 +29,16 @@
     """How long discovery may keep us without word, in seconds."""
 
     silent_s: float  # how long an answer or a connection may be overdue before it is given up
-    first_s: float  # the longest rest after a first failure
-    rest_s: float  # and after those that follow
+    first_backoff_s: float  # the longest backoff after a first failure
+    backoff_s: float  # and after those that follow
 
 
-# A change counts as told 6 s after discovery had it and could be reached: `silent_s` and `rest_s` leave a
+# A change counts as told 6 s after discovery had it and could be reached: `silent_s` and `backoff_s` leave a
 # second of that. What a silent watch misses counts as told 2 s after its wait: it is opened anew soon after.
-ASKED = Patience(silent_s=2.0, first_s=0.5, rest_s=3.0)
+ASKED = Patience(silent_s=2.0, first_backoff_s=0.5, backoff_s=3.0)
 # An agent on our own machine answers at once and at no cost, and what it has counts as told: both together
 # are under the second that the settings leave for the last sends to a server that drains.
-PUSHED = Patience(silent_s=0.75, first_s=0.2, rest_s=0.2)
+PUSHED = Patience(silent_s=0.75, first_backoff_s=0.2, backoff_s=0.2)
 
 
 @dataclass(slots=True, frozen=True)
@@ -107,7 +107,7 @@
         self._fleet_size, self._rng = fleet_size, rng or random.Random()
         self._connection: _Watch | None = None
         self._dial: Dial | None = None
-        self._timer: asyncio.TimerHandle | None = None  # the end of our patience, or of a rest
+        self._timer: asyncio.TimerHandle | None = None  # the end of our patience, or of a backoff
         self._failures = 0
         self._stopped = False
 
@@ -219,12 +219,12 @@
         if self._stopped:
             return
         self._failures += 1
-        self._timer = self._loop.call_later(self._rest_s(), self._ask)
+        self._timer = self._loop.call_later(self._backoff_s(), self._ask)
 
-    def _rest_s(self) -> float:
+    def _backoff_s(self) -> float:
         """Full jitter over a span that grows with the fleet and with failures, as far as patience allows."""
         span = BACKOFF_S * self._fleet_size * 2 ** min(self._failures - 1, 10)
-        longest = self._patience.first_s if self._failures == 1 else self._patience.rest_s
+        longest = self._patience.first_backoff_s if self._failures == 1 else self._patience.backoff_s
         return self._rng.random() * min(span, longest)
 
 
