Refuse what comes after a drain's last answers by the one way that answers go out

Core.request wrote again what Core._answer does: count, reason, answer. It hands its request to that now; so the log has the line for such a refusal that it has for every other badly ended request. Same status, advice and counts; tests unchanged.

--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -306,16 +306,15 @@
         """Take a request; its id tells `left` which one is meant."""
         self._serial += 1
         rid = f"r{self._serial}"
-        if self._over:  # danger: SIGKILL would find it unanswered
-            self.stats.ended(order.cls.name, 503)
-            self.stats.refused("ending")
-            client.answer(503, retry_after_ms=self.settings.max_retry_after_ms * self.settings.retry_after)
-            return rid
         # The client's time runs from when it sent the request, not from when we came to read it.
         now = time.monotonic()
         left_ms = order.time_left_ms - TRANSIT_MS - self._behind_ms(now)
         request = _Open(rid, client, order, now, math.inf, self.settings.try_limit)
         self._requests[rid] = request
+        if self._over:  # danger: SIGKILL would find it unanswered
+            retry_after_ms = self.settings.max_retry_after_ms * self.settings.retry_after
+            self._answer(request, 503, retry_after_ms=retry_after_ms, why="ending")
+            return rid
         if order.upload is None:
             self._take(request, left_ms)
         self._post(api.Request(rid, order.cls.name, order.plan_name, order.customer, left_ms - MODULE_MS,
