Share the two plain fake servers of the socket tests, and drop a line and a parameter for nothing

serve and silent stood in three and two test files, alike to the letter: conftest has them. A play of crossings reset a counter that nobody reads again, and a test of listings took a key that was always the same. All assertions stay.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -130,6 +130,15 @@
     writer: asyncio.StreamWriter
 
 
+def serve(seen: Seen) -> bytes:
+    """A server that answers at once."""
+    return reply(b"served")
+
+
+def silent(seen: Seen) -> None:
+    """A server that has the request and says nothing yet."""
+
+
 async def read_message(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> Seen:
     """One request or answer, whole."""
     line, *rest = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -219,7 +219,6 @@
         for _ in range(4):  # a wait for a total that was forgotten ends with the sweep
             self.now += 100
             self.give(api.TimerDue("sweep"))
-        self.serial = 0
         assert not self.out(), "begun though time was up"
         owed = [rid for rid, asked in self.asked.items() if asked.owed()]
         assert not owed and not self.gateway.held and not self.gateway.asking
--- a/tests/test_fields.py
+++ b/tests/test_fields.py
@@ -100,10 +100,9 @@
     assert str(caught.value) == "settings: packages[0].refill: 'plenty' is not a number from 0 to 1e+12"
 
 
-@pytest.mark.parametrize(("key", "value"), [
-    ("lifecycle", []), ("lifecycle", {}), ("lifecycle", None), ("lifecycle", 1)])
-def test_a_lifecycle_that_is_no_word_gets_no_new_work(key: str, value: object) -> None:
-    listing = parse_listing({"generation": 1, "reset": True, "instances": [{**LISTED, key: value}]})
+@pytest.mark.parametrize("value", [[], {}, None, 1])
+def test_a_lifecycle_that_is_no_word_gets_no_new_work(value: object) -> None:
+    listing = parse_listing({"generation": 1, "reset": True, "instances": [{**LISTED, "lifecycle": value}]})
     assert listing.servers[0].status == "draining"
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -26,17 +26,11 @@
     on_loop,
     read_message,
     reply,
+    serve,
+    silent,
 )
 
 
-def serve(seen: Seen) -> bytes:
-    return reply(b"served")
-
-
-def silent(seen: Seen) -> None:
-    return None
-
-
 def reset(seen: Seen) -> bytes:
     return b""
 
--- a/tests/test_owed.py
+++ b/tests/test_owed.py
@@ -12,21 +12,13 @@
 from pathlib import Path
 
 import pytest
-from conftest import Directory, Rig, Seen, message, on_loop, read_message, reply
+from conftest import Directory, Rig, message, on_loop, read_message, reply, serve, silent
 
 from yewstage.net.http1 import LONGEST_BODY
 
 Waiting = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
-def silent(seen: Seen) -> None:
-    """A server that has the request and says nothing yet."""
-
-
-def serve(seen: Seen) -> bytes:
-    return reply(b"served")
-
-
 async def opened(rig: Rig, data: bytes) -> Waiting:
     reader, writer = await rig.connect()
     writer.write(data)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 import pytest
-from conftest import Driver, Rig, Seen, message, of, on_loop, read_message, reply
+from conftest import Driver, Rig, Seen, message, of, on_loop, read_message, reply, serve
 
 from yewstage import interface as api
 from yewstage.net import clients as clients_module
@@ -18,10 +18,6 @@
 from yewstage.net.handover import SERVING, STATE, WAITING, Handover
 
 
-def serve(seen: Seen) -> bytes:
-    return reply(b"served")
-
-
 async def yes(rig: Rig) -> None:
     while (await rig.ops("/ops/readiness")).line.split()[1] != "200":
         await asyncio.sleep(0.02)
