Ask the system whether a client has left when the first byte of any attempt is written

Cause: the gateway knew a client's close only once the event loop had read it, and asked the system only while reading was paused (ClientConnection.has_disconnected). After the process was held up, a request and the close behind it both lie in the socket; the loop reads the request in one turn, writes the attempt in the same turn, and reads the close in the next. A refusal, a free link, a total of the counter, a claim's answer, a timer or a list that is handled before the close begins an attempt in the same way. Class: a decision at the moment of an effect that rests on what an earlier turn of the loop had read.

Evidence: with the process stopped (SIGSTOP), 27 of 27 combinations of connection, way to leave and effect, and 3 of 3 retries, reached the server on.

Change: every attempt passes AttemptRunner.on_link, whatever began it; has_disconnected now asks the system there each time, by a poll for POLLRDHUP, which close, reset and the end of sending all set, also behind unread bytes. If the poll fails, the state of TCP_INFO tells. A client found to have left counts as disconnected at once, so that nothing is tried elsewhere for it.

Two flaws of the tests, found in runs with the fix, are mended in them: a client's second descriptor closed some turns late, and a wait for an accepted connection that another one's close could miss. The transports of the benchmark name a socket now, as those of the program do; a scene hung without one.

--- a/benchmarks/scenes.py
+++ b/benchmarks/scenes.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import dataclasses
+import socket
 from collections.abc import Callable
 from types import SimpleNamespace
 
@@ -22,6 +23,8 @@
     b"X-Load: load_share=0.41,concurrent=3,depth=0\r\nContent-Length: 512\r\n\r\n" + b"x" * 512
 )
 CLOSING_ANSWER = SMALL_ANSWER.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n", 1)
+# What the program asks the system about a connection, it asks about this one, whose other end stays open.
+CONNECTED_SOCKET, OTHER_END = socket.socketpair()
 LONG_PIECE = b"x" * 16384
 LONG_PIECES = 16
 LONG_HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (LONG_PIECES * len(LONG_PIECE))
@@ -111,8 +114,8 @@
     def is_closing(self) -> bool:
         return self._closing
 
-    def get_extra_info(self, name: str) -> None:
-        return None
+    def get_extra_info(self, name: str) -> socket.socket | None:
+        return CONNECTED_SOCKET if name == "socket" else None
 
     def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
         pass
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -1,12 +1,15 @@
 """No attempt begins for a client that has left while the gateway process was held up.
 
-The process is stopped with SIGSTOP. Meanwhile the client leaves, and an event arrives that begins an attempt.
-Both lie in the sockets when the process continues, so that the order in which it reads them decides.
+In the tests with a process it is stopped with SIGSTOP. Meanwhile the client leaves, and an event arrives
+that begins an attempt. Both lie in the sockets when the process continues, so that the order in which it
+reads them decides. In the other tests a script stands in for the decision module.
 """
 
 from __future__ import annotations
 
 import asyncio
+import dataclasses
+import errno
 import os
 import signal
 import socket
@@ -16,7 +19,12 @@
 from pathlib import Path
 
 import pytest
-from conftest import LOOP, GatewayRig, SeenMessage, message, read_message, reply, run_on_loop, serve
+from conftest import LOOP, FakeHttpServer, GatewayRig, SeenMessage, message, reply, run_on_loop, serve
+from scripted_core import RecordingClient, Script, a_request, core_with
+
+from yewstage import interface as api
+from yewstage.net import socket_state
+from yewstage.net.core import Core
 
 DEPARTED = b"departed"
 PROBES = 5  # requests after the departed one, each of which goes through the event loop of the gateway
@@ -58,20 +66,18 @@
 
 async def accepted(rig: GatewayRig) -> socket.socket:
     """A client's connection that the gateway has accepted, and that has carried no request."""
-    before = (await rig.metrics())['gateway_descriptors{use="clients"}']
     client = connect(rig)
-    while (await rig.metrics())['gateway_descriptors{use="clients"}'] <= before:
-        await asyncio.sleep(0.01)
+    assert await rig.status(b"GET /ready HTTP/1.1\r\n\r\n") == 200  # on a connection accepted after it
     return client
 
 
 async def used(rig: GatewayRig) -> socket.socket:
     """A client's connection on which a request has been answered."""
-    reader, writer = await rig.connect()
-    writer.write(message(rid=b"first"))
-    await read_message(reader, writer)
-    client = writer.get_extra_info("socket").dup()
-    writer.transport.abort()
+    client = connect(rig)
+    client.sendall(message(rid=b"first"))
+    answer = b""
+    while not answer.endswith(b"served"):
+        answer += await asyncio.to_thread(client.recv, 4096)
     return client
 
 
@@ -132,3 +138,105 @@
             assert await attempts_for(rig, DEPARTED) == 1
 
     run_on_loop(scenario)
+
+
+BEGINNINGS = [
+    api.TimerDue("due"),
+    api.CountReply("total", api.OK, 0.0),
+    api.Claimed("r1", "yours"),
+    api.Outcome("r1", 0, "s-0", api.FULL, 1.0, False),
+    api.ServerList("changes", ()),
+]
+
+
+async def served_after(core: Core, script: Script) -> None:
+    """Serve another request, on the link that the departed client's attempt would have used."""
+    client = RecordingClient()
+    script.plan[api.Request] = [api.Send(f"r{core._request_count + 1}", "s-0", 5000)]
+    request = a_request()
+    core.request(client, dataclasses.replace(request, head=request.head.replace(b"Id: a", b"Id: later")))
+    assert await client.statuses.get() == 200
+
+
+# Guards against: an attempt that begins after the request's arrival is sent for a departed client.
+@pytest.mark.parametrize("has_idle_link", [True, False], ids=["idle link", "new link"])
+@pytest.mark.parametrize("event", BEGINNINGS, ids=lambda event: type(event).__name__)
+def test_no_event_begins_an_attempt_for_a_client_whose_close_is_not_read_yet(
+    monkeypatch: pytest.MonkeyPatch, event: api.Event, has_idle_link: bool
+) -> None:
+    async def scenario() -> None:
+        server = FakeHttpServer(lambda seen: reply(b"served"))
+        core, script = await core_with(monkeypatch, server)
+        if has_idle_link:
+            await served_after(core, script)
+        client = RecordingClient()
+        rid = core.request(client, a_request())
+        script.plan[type(event)] = [api.Send(rid, "s-0", 5000), api.Send(rid, "s-0", 5000)]
+        client.has_left = True
+        core._post(event)
+        await served_after(core, script)
+        assert [s.headers["x-request-id"] for s in server.seen if "/api/" in s.line].count("a") == 0
+        unsent = {api.CANCELLED, api.START_EXPIRED}
+        assert set(script.outcomes()) <= {api.OK, getattr(event, "result", api.OK), *unsent}
+        assert script.events.count(api.ClientLeft(rid)) == 1 and not core._requests
+        server.stop()
+
+    run_on_loop(scenario)
+
+
+# Guards against: an attempt that waited for a link is written for a client that left in the meantime.
+def test_a_link_that_becomes_free_is_not_used_for_a_client_whose_close_is_not_read_yet(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        server = FakeHttpServer(lambda seen: None)
+        core, script = await core_with(monkeypatch, server)
+        monkeypatch.setattr(script, "connection_limit", lambda name: 1)
+        first, departed = RecordingClient(), RecordingClient()
+        script.plan[api.Request] = [api.Send("r1", "s-0", 5000)]
+        request = a_request()
+        core.request(first, dataclasses.replace(request, head=request.head.replace(b"Id: a", b"Id: first")))
+        await server.wait_until(lambda fake: any("/api/" in s.line for s in fake.seen))
+        script.plan[api.Request] = [api.Send("r2", "s-0", 5000)]
+        core.request(departed, a_request())
+        departed.has_left = True
+        server.behave = lambda seen: reply(b"served")
+        server.seen[-1].writer.write(reply(b"served"))
+        assert await first.statuses.get() == 200
+        await served_after(core, script)
+        ids = [s.headers["x-request-id"] for s in server.seen if "/api/" in s.line]
+        assert ids == ["first", "later"] and api.ClientLeft("r2") in script.events
+        server.stop()
+
+    run_on_loop(scenario)
+
+
+class FailingPoll:
+    """A poll that fails for want of memory."""
+
+    def register(self, descriptor: int, events: int) -> None:
+        pass
+
+    def unregister(self, descriptor: int) -> None:
+        pass
+
+    def poll(self, timeout_ms: int) -> list:
+        raise OSError(errno.ENOMEM, "no memory")
+
+
+# Guards against: a client's close stays unseen, or a request fails, because the system call fails.
+@pytest.mark.parametrize("poll_fails", [False, True])
+@pytest.mark.parametrize("leave", WAYS_TO_LEAVE)
+def test_a_close_is_seen_behind_unread_bytes(
+    monkeypatch: pytest.MonkeyPatch, leave: Leave, poll_fails: bool
+) -> None:
+    if poll_fails:
+        monkeypatch.setattr(socket_state, "_hangup_poll", FailingPoll())
+    with socket.create_server((LOOP, 0)) as listener:
+        client = socket.create_connection(listener.getsockname())
+        accepted_socket, _ = listener.accept()
+        with client, accepted_socket:
+            client.sendall(b"unread")
+            assert not socket_state.has_hung_up(accepted_socket)
+            leave(client)
+            assert socket_state.has_hung_up(accepted_socket)
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -26,95 +26,19 @@
     reply,
     run_on_loop,
 )
+from scripted_core import RecordingClient, a_request, core_with
 from virtual import VirtualLoop, VirtualServer
 
 from yewstage import interface as api
 from yewstage.net import clients as clients_module
-from yewstage.net import core as core_module
 from yewstage.net import counter as counter_module
 from yewstage.net.attempts import Attempt, AttemptRunner
 from yewstage.net.config import parse
-from yewstage.net.core import ClientRequest, Core
 from yewstage.net.counter import Counter
 from yewstage.net.discovery import ON_REQUEST_TIMEOUTS, PUSHED_TIMEOUTS, Discovery, Listing, WatchTimeouts
 from yewstage.net.http1 import Reply, ReplyProtocol
 
 
-class Script:
-    """Replaces the decision module: records events and returns the planned actions."""
-
-    def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.events: list[api.Event] = []
-        self.plan: dict[type, list[api.Action] | Exception] = {}
-
-    def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
-        self.events.append(event)
-        actions = self.plan.pop(type(event), [])
-        if isinstance(actions, Exception):
-            raise actions
-        return actions
-
-    def connection_limit(self, name: str) -> int:
-        return 8
-
-    def may_retry(self, request: str) -> bool:
-        return False
-
-    def outcomes(self) -> list[str]:
-        return [e.result for e in self.events if isinstance(e, api.Outcome)]
-
-
-class RecordingClient:
-    """A client that records the status of its answers."""
-
-    def __init__(self) -> None:
-        self.statuses: asyncio.Queue[int] = asyncio.Queue()
-
-    def has_disconnected(self) -> bool:
-        return False
-
-    def answer(
-        self, status: int, body: bytes = b"", content_type: bytes = b"", retry_after_ms: float = 0.0
-    ) -> None:
-        self.statuses.put_nowait(status)
-
-
-def a_request(deadline_ms: float = 5000) -> ClientRequest:
-    pay = api.RequestClass("pay", 3000, 6000, effect="unsafe")
-    return ClientRequest(
-        "a",
-        pay,
-        "team",
-        "0" * 16,
-        deadline_ms,
-        1,
-        1,
-        0,
-        False,
-        b"POST /api/0 HTTP/1.1\r\nX-Request-Id: a\r\nContent-Length: 0\r\n",
-        b"",
-    )
-
-
-async def core_with(monkeypatch: pytest.MonkeyPatch, fake_server: FakeHttpServer) -> tuple[Core, Script]:
-    """A core whose decision module is a script and whose only server is `s-0`. Discovery does not answer."""
-    monkeypatch.setattr(core_module, "Gateway", Script)
-    await fake_server.start()
-    config = parse(
-        {
-            "listen": f"{LOOP}:0",
-            "discovery": f"{LOOP}:{fake_server.port}",
-            "seed": "1",
-            "known": {"generation": 1, "reset": True, "instances": [instance("s-0", fake_server.port)]},
-            "settings": {"grades": GRADES, "packages": PACKAGES, "bounds": {"try_limit": 2}},
-        }
-    )
-    core = Core(config, asyncio.get_running_loop())
-    core._apply_list(config.fallback_listing, "kept")
-    core._loop.call_soon(core._heartbeat)
-    return core, core._gateway
-
-
 def test_the_deadline_guard_answers_in_time_and_later_actions_have_no_effect(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -11,8 +11,8 @@
 
 import pytest
 from conftest import FakeHttpServer, GatewayRig, SeenMessage, message, read_message, reply, run_on_loop
+from scripted_core import core_with
 from test_bodies import CHUNKED, ScriptedServerRig, body_of, echo_digest, in_chunks, resident_mb
-from test_net_parts import core_with
 
 from yewstage import interface as api
 from yewstage.net.clients import ClientConnection, ClientListener
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -8,7 +8,6 @@
 import fcntl
 import logging
 import re
-import select
 import socket
 import termios
 from collections import Counter, deque
@@ -21,6 +20,7 @@
 from yewstage.net.core import ClientRequest, Core
 from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES, Upload, limit_socket_buffer
 from yewstage.net.pool import Source
+from yewstage.net.socket_state import has_hung_up
 
 log = logging.getLogger(__name__)
 
@@ -353,16 +353,15 @@
             self._release_open_request()
 
     def has_disconnected(self) -> bool:
-        """Whether the client has disconnected; polls the socket while reading is paused.
+        """Whether the client has closed the connection or ended its sending, by asking the system.
 
-        The transport does not report the end of the connection during a pause.
+        The event loop reads the end of the connection in a later turn than the request before it, and not at
+        all while reading is paused.
         """
-        if self._read_paused_at_s is None or self.transport.is_closing():
-            return self.transport.is_closing()
-        poller = select.poll()
-        poller.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-        is_hung_up = bool(poller.poll(0))
-        if is_hung_up:
+        if self.transport.is_closing():
+            return True
+        is_hung_up = has_hung_up(self.transport.get_extra_info("socket"))
+        if is_hung_up and self._read_paused_at_s is not None:
             self.transport.abort()
         return is_hung_up
 
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -66,7 +66,7 @@
     """Receives the answer to one request."""
 
     def has_disconnected(self) -> bool:
-        """Whether the client closed its connection, even if connection_lost has not been called yet."""
+        """Whether the client closed its connection or ended its sending, even if that is not read yet."""
 
     def answer(
         self, status: int, body: bytes = b"", content_type: bytes = b"", retry_after_ms: float = 0.0
@@ -554,9 +554,14 @@
         self._attempt_runner.send(attempt, max(wait_s, 0.0), action.start_deadline_ms / 1000)
 
     def is_wanted(self, attempt: Attempt) -> bool:
-        """Whether the client is still connected when the attempt is about to be written."""
-        client = self._requests[attempt.request].client
-        return client is not None and not client.has_disconnected()
+        """Whether the client is still connected when the attempt is about to be written.
+
+        A client that is found to have left counts as disconnected from now on.
+        """
+        request = self._requests[attempt.request]
+        if request.client is not None and request.client.has_disconnected():
+            self.client_disconnected(request.id)
+        return request.client is not None
 
     def on_sent(self, attempt: Attempt) -> None:
         """Called when the last byte of an attempt was written."""
