Count the time that a request lay unread wherever it lay, in what servers are told is left

Cause: what a client has left was reckoned from the reading of its request, less a stall that the heartbeat had seen in the same turn of the event loop. A connection accepted after a stall is read some turns later, when the stall is forgotten; nothing counted the wait in the backlog of a listener without room, the wait behind another request of the connection, or unread bytes while reading was paused. Deadlines and start deadlines of attempts went by the loop's own time, which is that of the start of its turn.

Change: loop_monitor has the heartbeat and ReadGap, which bounds how early input that is read now can have arrived, for connections and for the backlog; each request carries its arrival, and Core.client_waits_until, asked when the first byte of an attempt is written, is the one place that says until when its client waits. After a pause the system's time of the last data (TCP_INFO) narrows the bound, so that fresh requests of a crowd aren't taken for old ones. Stalls are counted in two metrics. ClientConnection has slots now: its attributes had grown past what dictionaries share.

--- a/plumwall/simulate/gateway.py
+++ b/plumwall/simulate/gateway.py
@@ -21,11 +21,11 @@
 from yewstage.net.core import (
     GUARD_MARGIN_MS,
     MODULE_MARGIN_MS,
-    STALL_THRESHOLD_MS,
     TRANSIT_MS,
     UPSTREAM_SHARE,
 )
 from yewstage.net.discovery import parse_listing
+from yewstage.net.loop_monitor import STALL_THRESHOLD_S
 from yewstage.net.pool import IDLE_LIMIT_SHARES, SWEEP_INTERVAL_S
 from yewstage.policy import Gateway
 
@@ -428,7 +428,9 @@
     def _accept(self, client: Client, parameters: dict[str, object], received_at_ms: float) -> None:
         now = self.clock.now
         waited_ms = now - received_at_ms - REQUEST_COST_MS
-        left_ms = parameters["left_ms"] - TRANSIT_MS - (waited_ms if waited_ms > STALL_THRESHOLD_MS else 0.0)
+        left_ms = (
+            parameters["left_ms"] - TRANSIT_MS - (waited_ms if waited_ms > STALL_THRESHOLD_S * 1000 else 0.0)
+        )
         cls = self._classes[parameters["cls"]]
         rid = parameters["rid"]
         request = self._open[rid] = OpenRequest(rid, client, cls, now + left_ms - GUARD_MARGIN_MS)
--- a/tests/scripted_core.py
+++ b/tests/scripted_core.py
@@ -85,5 +85,5 @@
     )
     core = Core(config, asyncio.get_running_loop())
     core._apply_list(config.fallback_listing, "kept")
-    core._loop.call_soon(core._heartbeat)
+    core.loop_monitor.start()
     return core, core._gateway
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import hashlib
+import math
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -530,8 +531,8 @@
     def __init__(self) -> None:
         self.ended = asyncio.Event()
 
-    def is_wanted(self, attempt: Attempt) -> bool:
-        return True
+    def client_waits_until(self, attempt: Attempt) -> float:
+        return math.inf
 
     def on_sent(self, attempt: Attempt) -> None:
         pass
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -237,6 +237,6 @@
         accepted_socket, _ = listener.accept()
         with client, accepted_socket:
             client.sendall(b"unread")
-            assert not socket_state.has_hung_up(accepted_socket)
+            assert not socket_state.has_hung_up(accepted_socket.fileno())
             leave(client)
-            assert socket_state.has_hung_up(accepted_socket)
+            assert socket_state.has_hung_up(accepted_socket.fileno())
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -6,6 +6,7 @@
 import contextlib
 import dataclasses
 import itertools
+import math
 import os
 import random
 import socket
@@ -283,8 +284,8 @@
     def __init__(self, note: Callable[[str], None]) -> None:
         self._note = note
 
-    def is_wanted(self, attempt: Attempt) -> bool:
-        return True
+    def client_waits_until(self, attempt: Attempt) -> float:
+        return math.inf
 
     def on_sent(self, attempt: Attempt) -> None:
         pass
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import re
 from collections.abc import Callable
@@ -31,6 +32,7 @@
     dial_ms: float = 250
     max_links_to: Callable[[str], int] = lambda name: 10**6
     results: list[tuple[str, str]] = field(default_factory=list)
+    client_time_left_s: float = math.inf
 
     def __post_init__(self) -> None:
         self.descriptors = Descriptors()
@@ -43,6 +45,7 @@
             self,
             self.use,
             max_links_to=self.max_links_to,
+            clock_s=lambda: self.loop.now,
             clock_ms=lambda: self.loop.now * 1000,
             rng=random.Random(1),
         )
@@ -60,8 +63,8 @@
         self.attempt_runner.send(attempt, timeout_s)
         return attempt
 
-    def is_wanted(self, attempt: Attempt) -> bool:
-        return True
+    def client_waits_until(self, attempt: Attempt) -> float:
+        return self.loop.now + self.client_time_left_s
 
     def after(self, seconds: float) -> Fleet:
         self.loop.run(self.loop.now + seconds)
@@ -109,6 +112,32 @@
     assert fleet.descriptors.peak == 1
 
 
+def test_an_attempt_whose_client_has_no_time_left_is_not_written_and_its_link_is_kept() -> None:
+    fleet = Fleet()
+    server = fleet.server(1)
+    fleet.send("late")
+    fleet.client_time_left_s = 0.0
+    fleet.after(0.005)
+    assert fleet.results == [("late", api.START_EXPIRED)] and not server.requests
+    assert fleet.metric("links_idle") == 1
+
+
+@pytest.mark.parametrize(
+    ("client_s", "timeout_s", "told_ms"), [(0.3, 2.0, 300), (2.0, 0.3, 300), (0.0004, 2.0, 1)]
+)
+def test_a_server_is_told_the_lesser_of_what_the_client_and_the_attempt_have_left(
+    client_s: float, timeout_s: float, told_ms: int
+) -> None:
+    fleet = Fleet()
+    server = fleet.server(1)
+    fleet.send("a")
+    fleet.after(0.05)
+    fleet.client_time_left_s = client_s
+    attempt = Attempt("b", 0, "s1", b"GET /b HTTP/1.1\r\n", 0.0, body=b"")
+    fleet.attempt_runner.send(attempt, timeout_s)
+    assert server.requests[-1].endswith(b"X-Deadline: %dm\r\n\r\n" % told_ms)
+
+
 def test_refused_and_silent_dials_release_their_descriptors() -> None:
     fleet = Fleet()
     fleet.server(1).silent = True
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -220,7 +220,8 @@
 def test_a_removed_class_is_accepted_for_a_while() -> None:
     async def scenario() -> None:
         loop = asyncio.get_running_loop()
-        core = type("Core", (), {"settings": settings(), "stats": Stats(()), "max_upload_bytes": 1})
+        members = {"settings": settings(), "stats": Stats(()), "max_upload_bytes": 1, "loop_monitor": None}
+        core = type("Core", (), members)
         server = clients_module.ClientListener(core, loop, 100)
         timers = []
         server.loop = type(
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -114,7 +114,7 @@
             self.closed = True
 
     local, peer = socket.socketpair()
-    core = type("Core", (), {"budget": MemoryBudget(2**20, lambda: 0.0)})
+    core = type("Core", (), {"budget": MemoryBudget(2**20, lambda: 0.0), "loop_monitor": None})
     connection = clients_module.ClientConnection(type("Server", (), {"core": core}))
     connection.transport = Transport(local)
     peer.send(b"G")
--- a/yewstage/net/attempts.py
+++ b/yewstage/net/attempts.py
@@ -8,6 +8,7 @@
 import asyncio
 import math
 import time
+from collections.abc import Callable
 from typing import Protocol
 
 from yewstage import interface as api
@@ -15,6 +16,7 @@
 from yewstage.net.pool import ABANDONED, Link, Pool, Source, Stream
 from yewstage.net.stats import DescriptorUse
 
+MS_ROUNDING = 0.001  # a whole number of milliseconds stays one when it is cut to an integer
 # After a time-out the loop gets one or two turns to read data that has arrived, before the time-out counts.
 READ_GRACE_S = 0.002
 
@@ -22,8 +24,12 @@
 class AttemptOwner(Protocol):
     """Receives the events of attempts."""
 
-    def is_wanted(self, attempt: Attempt) -> bool:
-        """Whether the attempt may be written: its client still waits for the answer."""
+    def client_waits_until(self, attempt: Attempt) -> float:
+        """Until when the attempt's client waits for the answer, in seconds of the runner's clock.
+
+        It is in the past if the client has left or is answered, and infinite while its time does not run yet.
+        Called just before the first byte of the attempt is written, which is not written after that time.
+        """
 
     def on_sent(self, attempt: Attempt) -> None:
         """Called when the last byte of the attempt was written."""
@@ -66,7 +72,7 @@
         "may_have_sent",
         "is_streaming",
         "start_by",
-        "requested_at",
+        "ends_by",
         "body",
     )
 
@@ -84,8 +90,11 @@
         self.request, self.number, self.server, self.class_name = request, number, server, class_name
         # If `body` is set, `payload` lacks X-Deadline and the body, which are added when it is written.
         self.payload, self.body, self.sent_at, self.upload = payload, body, sent_at, upload
-        self.timeout_s, self.requested_at = 0.0, 0.0
-        self.start_by = math.inf  # loop time after which the attempt is not written any more
+        self.timeout_s = 0.0
+        self.start_by = math.inf  # time after which the attempt is not written any more
+        self.ends_by = (
+            math.inf
+        )  # when its time-out ends it; that of a streamed body starts with its last byte
         self.head_received_at: float | None = None  # when the head of the answer was complete
         self.attempt_runner: AttemptRunner | None = None
         self.link: Link | None = None
@@ -117,12 +126,10 @@
         """Called by the pool with a link for this attempt."""
         self.attempt_runner.on_link(self, link)
 
-    def complete_head(self, now: float) -> None:
-        """Add X-Deadline (how long the gateway will still wait, at least 1 ms) and the body."""
+    def complete_head(self, time_left_s: float) -> None:
+        """Add X-Deadline (`time_left_s`, at least 1 ms) and the body."""
         if self.body is not None:
-            # The time of a streamed body starts when it is complete.
-            waited_s = 0.0 if self.upload is not None else now - self.requested_at
-            left_ms = max((self.timeout_s - waited_s) * 1000, 1)
+            left_ms = max(time_left_s * 1000 + MS_ROUNDING, 1)
             self.payload = b"%bX-Deadline: %dm\r\n\r\n%b" % (self.payload, left_ms, self.body)
             self.body = None
 
@@ -132,7 +139,11 @@
 
 
 class AttemptRunner:
-    """Sends attempts and reports the end of each, exactly once."""
+    """Sends attempts and reports the end of each, exactly once.
+
+    `clock_s` is the clock for deadlines. The event loop's own time is that of the start of its present turn,
+    which can be far behind in a process that is held up.
+    """
 
     def __init__(
         self,
@@ -142,17 +153,19 @@
         idle_limit_ms: float,
         owner: AttemptOwner,
         descriptor_use: DescriptorUse | None = None,
+        clock_s: Callable[[], float] = time.monotonic,
         **options: object,
     ) -> None:
-        self.loop, self._owner = loop, owner
+        self.loop, self._owner, self._clock_s = loop, owner, clock_s
         self.pool = Pool(loop, max_links, dial_timeout_ms, idle_limit_ms, self, descriptor_use, **options)
 
     def send(self, attempt: Attempt, timeout_s: float, start_within_s: float = math.inf) -> None:
         """Send an attempt over an idle link, or the first one connected or released in `start_within_s`."""
         attempt.attempt_runner, attempt.timeout_s, attempt.is_waiting = self, timeout_s, True
-        attempt.requested_at = self.loop.time()
-        attempt.start_by = attempt.requested_at + start_within_s
+        now = self._clock_s()
+        attempt.start_by = now + start_within_s
         if attempt.upload is None:
+            attempt.ends_by = now + timeout_s
             attempt.timer = self.loop.call_later(timeout_s, self._on_timeout, attempt)
         self.pool.acquire(attempt.server, attempt)
         if attempt.is_waiting:
@@ -168,16 +181,17 @@
             self._end(attempt, api.CANCELLED)
 
     def on_link(self, attempt: Attempt, link: Link) -> None:
-        """Write an attempt to its link."""
-        now = self.loop.time()
-        if now > attempt.start_by or not self._owner.is_wanted(attempt):
+        """Write an attempt to its link, unless its time has run out or its client has left."""
+        waits_until = min(self._owner.client_waits_until(attempt), attempt.ends_by)
+        now = self._clock_s()
+        if now >= waits_until or now > attempt.start_by:
             self.pool.release(link, reusable=True)
             self.on_link_failed(attempt, api.START_EXPIRED, "start deadline passed or client disconnected")
             return
         self._stop_waiting(attempt)
         attempt.link, attempt.may_have_sent = link, True
         attempt.idle_s = now - link.idle_since if link.idle_since else None
-        attempt.complete_head(now)
+        attempt.complete_head(min(waits_until - now, attempt.timeout_s))
         link.begin(attempt)
 
     def on_link_failed(self, attempt: Attempt, result: str, cause: str) -> None:
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -10,6 +10,7 @@
 import re
 import socket
 import termios
+import time
 from collections import Counter, deque
 from functools import lru_cache
 
@@ -19,8 +20,9 @@
 from yewstage.log import Event
 from yewstage.net.core import ClientRequest, Core
 from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES, Upload, limit_socket_buffer
+from yewstage.net.loop_monitor import STALL_THRESHOLD_S, ReadGap
 from yewstage.net.pool import Source
-from yewstage.net.socket_state import has_hung_up
+from yewstage.net.socket_state import has_hung_up, seconds_since_last_data
 
 log = logging.getLogger(__name__)
 
@@ -103,6 +105,7 @@
         "is_complete",
         "awaits_continue",
         "http_version",
+        "arrived_at_s",
     )
 
     def __init__(self) -> None:
@@ -122,6 +125,8 @@
         self.paused_s = 0.0  # total time for which reading was paused during the body
         self.is_complete = False
         self.awaits_continue = False  # "Expect: 100-continue" is unanswered
+        # When its last byte (of an upload, its head) arrived at this machine; of the monotonic clock.
+        self.arrived_at_s = 0.0
 
 
 class ClassAndPlanNames:
@@ -221,8 +226,47 @@
 class ClientConnection(asyncio.Protocol):
     """One client connection. Pipelined requests are processed one at a time, in order."""
 
-    def __init__(self, listener: ClientListener) -> None:
+    __slots__ = (
+        "_listener",
+        "_core",
+        "_read_gap",
+        "_read_arrived_at_s",
+        "_descriptor",
+        "transport",
+        "_parser",
+        "_message",
+        "_pending_requests",
+        "_current_request",
+        "_open_request_id",
+        "_is_answer_due",
+        "_answer_source",
+        "_is_chunked",
+        "_is_self_delimited",
+        "_keeps_alive",
+        "_is_closing",
+        "_is_processing_queue",
+        "_is_queue_full",
+        "_is_upload_paused",
+        "_is_budget_paused",
+        "_is_flushing",
+        "_request_account",
+        "_answer_account",
+        "_open_request_bytes",
+        "_read_paused_at_s",
+        "_write_blocked_at_s",
+        "_head_bytes",
+        "_is_replaying_head",
+        "answered_count",
+        "phase_started_at_s",
+        "received_at_s",
+    )
+
+    def __init__(self, listener: ClientListener, unread_since_s: float | None = None) -> None:
+        """`unread_since_s` is since when it may have been in the backlog, by the monotonic clock."""
         self._listener, self._core = listener, listener.core
+        self._read_gap = ReadGap(listener.core.loop_monitor, unread_since_s)
+        self._read_arrived_at_s = 0.0  # the earliest that the latest bytes read may have arrived
+        self._descriptor = -1  # of the transport's socket; -1 until it is needed
         self.transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._message: _RequestMessage | None = None  # the one being received
@@ -257,16 +301,37 @@
         self.transport = transport
         transport.set_write_buffer_limits(high=0)  # so that any unsent byte calls pause_writing
         self.phase_started_at_s = self.received_at_s = self._listener.now()
+        self._read_gap.resume()
         self._listener.connections.add(self)
         self._listener.descriptor_use.opened()
 
     def data_received(self, data: bytes) -> None:
         self.received_at_s = self._listener.now()
         if not self._is_closing:
+            now = time.monotonic()
+            self._read_arrived_at_s = loop_arrival_s = now - self._core.loop_monitor.read_delay_s(now)
+            if self._read_gap.is_open():
+                self._read_arrived_at_s = self._read_gap.earliest_arrival_s(now)
+                self._read_gap.end()
             self._feed_parser(data)
+            if loop_arrival_s - self._read_arrived_at_s > STALL_THRESHOLD_S:
+                self._refine_arrival(now, loop_arrival_s)
             self._process_queue()
             self._request_account.set(self._buffered_request_bytes())
 
+    def _refine_arrival(self, now: float, loop_arrival_s: float) -> None:
+        """Ask the system when the last byte of a request arrived that may have come while nothing was read.
+
+        It knows of the last bytes only, so this applies where they were the end of one request. The delay of
+        the event loop stays a bound.
+        """
+        if len(self._pending_requests) != 1 or self._message is not None or self._is_answer_due:
+            return
+        request = self._pending_requests[0]
+        since_s = seconds_since_last_data(self.transport.get_extra_info("socket"))
+        if since_s is not None and isinstance(request, _RequestMessage):
+            request.arrived_at_s = max(request.arrived_at_s, min(loop_arrival_s, now - since_s))
+
     def _buffered_request_bytes(self) -> int:
         """Bytes of requests in memory: being received, queued, or awaiting their answer."""
         size = self._open_request_bytes
@@ -360,7 +425,9 @@
         """
         if self.transport.is_closing():
             return True
-        is_hung_up = has_hung_up(self.transport.get_extra_info("socket"))
+        if self._descriptor < 0:
+            self._descriptor = self.transport.get_extra_info("socket").fileno()
+        is_hung_up = has_hung_up(self._descriptor)
         if is_hung_up and self._read_paused_at_s is not None:
             self.transport.abort()
         return is_hung_up
@@ -469,6 +536,7 @@
         if not self._core.budget.admits_stream():
             self._reject(self._count_refusal(message))
             return
+        message.arrived_at_s = self._read_arrived_at_s
         message.upload = Upload(
             message.content_length, self._pause_upload, self._core.budget.open_account("uploads"), self._evict
         )
@@ -509,6 +577,7 @@
         self._message = None
         self._head_bytes = 0
         message.is_complete = True
+        message.arrived_at_s = self._read_arrived_at_s
         if message.upload is not None:
             message.upload.finish()
             if message is self._current_request and not self._is_answer_due:
@@ -555,11 +624,13 @@
         now = self._listener.now()
         if should_pause:
             self._read_paused_at_s = now
+            self._read_gap.pause()
             self.transport.pause_reading()
             return
         if self._message is not None:
             self._message.paused_s += now - self._read_paused_at_s
         self._read_paused_at_s = None
+        self._read_gap.resume()
         self.transport.resume_reading()
 
     def _process_queue(self) -> None:
@@ -602,7 +673,7 @@
             client_request.body, item.body = b"".join(item.body), []
         client_request.head += _framing_header(item)
         self._open_request_bytes = len(client_request.head) + len(client_request.body)
-        request_id = self._core.request(self, client_request)
+        request_id = self._core.request(self, client_request, item.arrived_at_s)
         if self._is_answer_due:  # otherwise it has already been answered
             self._open_request_id = request_id
             if item.awaits_continue:
@@ -835,6 +906,7 @@
         self._is_open = self._is_accepting = False
         self._accept_tasks: set[asyncio.Task] = set()
         self._full_logged_at_s = -FULL_LOG_INTERVAL_S
+        self._accept_gap = ReadGap(core.loop_monitor)
 
     def set_classes_and_plans(self, names: ClassAndPlanNames) -> None:
         """Apply new classes and plans; removed classes stay valid for CLASS_REMOVAL_DELAY_S."""
@@ -872,6 +944,7 @@
         self._listening_socket.setblocking(False)
         if not self._listening_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
             self._listening_socket.listen(BACKLOG_CONNECTIONS)
+        self._accept_gap.pause()
         self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         return self._listening_socket.getsockname()[:2]
 
@@ -913,12 +986,14 @@
             and self._has_room()
         ):
             self._is_accepting = True
+            self._accept_gap.resume()
             self.loop.add_reader(self._listening_socket, self._accept_waiting)
 
     def _pause_accepting(self) -> None:
         if self._is_accepting:
             self._is_accepting = False
             self.loop.remove_reader(self._listening_socket)
+            self._accept_gap.pause()
 
     def _max_connections(self) -> int:
         return int(CLIENT_DESCRIPTOR_SHARE * self._socket_limit) // (
@@ -938,7 +1013,10 @@
         while self._has_room():
             try:
                 accepted, _ = self._listening_socket.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            except BlockingIOError:
+                self._accept_gap.end()
+                return
+            except (InterruptedError, ConnectionAbortedError):
                 return
             except OSError as error:
                 log.warning(
@@ -952,8 +1030,9 @@
                 self.loop.call_later(ACCEPT_RETRY_DELAY_S, self._resume_accepting)
                 return
             accepted.setblocking(False)
+            connection = ClientConnection(self, self._accept_gap.earliest_arrival_s(time.monotonic()))
             task = self.loop.create_task(
-                self.loop.connect_accepted_socket(lambda: ClientConnection(self), accepted)
+                self.loop.connect_accepted_socket(lambda connection=connection: connection, accepted)
             )
             self._accept_tasks.add(task)
             task.add_done_callback(self._accept_done)
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -26,6 +26,7 @@
 from yewstage.net.counter import Counter
 from yewstage.net.discovery import ON_REQUEST_TIMEOUTS, PUSHED_TIMEOUTS, Discovery, Listing
 from yewstage.net.http1 import Reply, Upload
+from yewstage.net.loop_monitor import LoopMonitor
 from yewstage.net.pool import Source
 from yewstage.net.stats import THROTTLED_STATUSES, DescriptorUse, Stats
 from yewstage.policy import Gateway
@@ -46,8 +47,6 @@
 GUARD_MARGIN_MS = 8.0  # the deadline guard answers this long before the client's deadline
 # The decision module gets a deadline this much earlier, so that it acts before the guard.
 MODULE_MARGIN_MS = 20.0
-HEARTBEAT_INTERVAL_S = 0.05  # of the timer that measures event loop stalls
-STALL_THRESHOLD_MS = 5.0  # a heartbeat that is later than this counts as a stall
 DISCOVERY_WAIT_S = 1.0  # after a start, before serving with the configured list of servers
 
 
@@ -201,9 +200,8 @@
         self._request_count = 0
         self._event_queue: deque[api.Event] = deque()
         self._is_handling = False
-        self._stall_ms = 0.0
+        self.loop_monitor = LoopMonitor(loop)
         self._started_at = 0.0
-        self._heartbeat_due = time.monotonic() + HEARTBEAT_INTERVAL_S
         self._discovery_answered = False  # since the start of this process
         self.extra_metrics: Callable[[], Mapping[str, float]] = dict  # metrics of other components
         # draining: SIGTERM was received. _is_ending: everything was answered, new requests are refused.
@@ -244,8 +242,7 @@
         self._discovery.start()
         if self._counter is not None:
             self._counter.start()
-        self._heartbeat_due = time.monotonic() + HEARTBEAT_INTERVAL_S
-        self._loop.call_later(HEARTBEAT_INTERVAL_S, self._heartbeat)
+        self.loop_monitor.start()
 
     def reconfigure(self, config: Config) -> None:
         """Apply new settings, including new addresses of discovery and the counter."""
@@ -307,6 +304,7 @@
             self._pool.metrics(),
             self._body_metrics(),
             self._admission_metrics(),
+            self.loop_monitor.metrics(),
             *(
                 component.metrics()
                 for component in (self._claim_record, self._shares)
@@ -349,38 +347,22 @@
         for request in list(self._requests.values()):
             self._answer_timed_out(request)
 
-    def _heartbeat(self) -> None:
-        """Measure event loop stalls. Data read in this turn of the loop may have waited that long."""
-        now = time.monotonic()
-        late_ms = (now - self._heartbeat_due) * 1000
-        if late_ms > STALL_THRESHOLD_MS:
-            self._stall_ms = late_ms
-            self._loop.call_later(0.001, self._stall_ended)
-        self._heartbeat_due = now + HEARTBEAT_INTERVAL_S
-        self._loop.call_later(HEARTBEAT_INTERVAL_S, self._heartbeat)
-
-    def _stall_ended(self) -> None:
-        self._stall_ms = 0.0
+    # --- Clients ------------------------------------------------------------------------------------------
 
-    def _read_delay_ms(self, now: float) -> float:
-        """How long data that is read now may have waited because the event loop stalled.
+    def request(self, client: Client, client_request: ClientRequest, arrived_at: float | None = None) -> str:
+        """Accept a request. Returns its id, which `client_disconnected` expects.
 
-        The due time of the heartbeat is checked too: a loop that was stopped in its poll reads sockets before
-        it runs timers, so the heartbeat may not have recorded the stall yet.
+        `arrived_at` is when its last byte arrived (of a streamed body, its head), in seconds of the monotonic
+        clock: the client's time limit runs from then, not from when it was read. None means now.
         """
-        late_ms = (now - self._heartbeat_due) * 1000
-        return late_ms if late_ms > STALL_THRESHOLD_MS else self._stall_ms
-
-    # --- Clients ------------------------------------------------------------------------------------------
-
-    def request(self, client: Client, client_request: ClientRequest) -> str:
-        """Accept a request. Returns its id, which `client_disconnected` expects."""
         self._request_count += 1
         request_id = f"r{self._request_count}"
-        # The client's time limit runs from when it sent the request, not from when it was read here.
         now = time.monotonic()
-        left_ms = client_request.time_left_ms - TRANSIT_MS - self._read_delay_ms(now)
-        request = _OpenRequest(request_id, client, client_request, now, math.inf, self.settings.try_limit)
+        arrived_at = now if arrived_at is None else arrived_at
+        left_ms = client_request.time_left_ms - TRANSIT_MS - (now - arrived_at) * 1000
+        request = _OpenRequest(
+            request_id, client, client_request, arrived_at, math.inf, self.settings.try_limit
+        )
         self._requests[request_id] = request
         if self._is_ending:  # otherwise SIGKILL could come before its answer
             retry_after_ms = self.settings.max_retry_after_ms * self.settings.retry_after
@@ -520,8 +502,13 @@
     def _send(self, action: api.Send) -> None:
         request = self._requests.get(action.request)
         number = len(request.attempts) if request is not None else 0
-        left_s = request.answer_by - time.monotonic() if request is not None else 0.0
-        if request is None or request.client is None or left_s <= 0 or number >= request.max_attempts:
+        now = time.monotonic()
+        if (
+            request is None
+            or request.client is None
+            or now >= request.answer_by
+            or number >= request.max_attempts
+        ):
             if request is not None:
                 request.attempts.append(None)
             self._post(
@@ -537,14 +524,14 @@
             return
         client_request = request.client_request
         # The time limit of a request with a streamed body does not run yet.
-        left_s = min(left_s, client_request.time_left_ms / 1000)
+        left_s = min(request.answer_by - now, client_request.time_left_ms / 1000)
         wait_s = min(action.timeout_ms / 1000, left_s) if action.timeout_ms else left_s
         attempt = Attempt(
             action.request,
             number,
             action.server,
             client_request.head,
-            time.monotonic(),
+            now,
             client_request.upload,
             client_request.cls.name,
             client_request.body,
@@ -553,15 +540,16 @@
         request.running_attempts += 1
         self._attempt_runner.send(attempt, max(wait_s, 0.0), action.start_deadline_ms / 1000)
 
-    def is_wanted(self, attempt: Attempt) -> bool:
-        """Whether the client is still connected when the attempt is about to be written.
+    def client_waits_until(self, attempt: Attempt) -> float:
+        """Until when the client waits, by the monotonic clock; minus infinity if it has left or is answered.
 
-        A client that is found to have left counts as disconnected from now on.
+        This alone decides whether the first byte of an attempt is written. A client that is found to have
+        left counts as disconnected from now on.
         """
         request = self._requests[attempt.request]
         if request.client is not None and request.client.has_disconnected():
             self.client_disconnected(request.id)
-        return request.client is not None
+        return request.answer_by if request.client is not None else -math.inf
 
     def on_sent(self, attempt: Attempt) -> None:
         """Called when the last byte of an attempt was written."""
@@ -631,7 +619,7 @@
         """
         now = time.monotonic()
         took_ms = ((attempt.head_received_at or now) - attempt.sent_at) * 1000
-        return max(took_ms - self._read_delay_ms(now), 0.0) if answered else took_ms
+        return max(took_ms - self.loop_monitor.read_delay_s(now) * 1000, 0.0) if answered else took_ms
 
     def _end_stream(self, request: _OpenRequest, result: str) -> None:
         client = request.client
--- a/yewstage/net/socket_state.py
+++ b/yewstage/net/socket_state.py
@@ -2,23 +2,45 @@
 
 from __future__ import annotations
 
+import os
 import select
 import socket
+import struct
 
-# The first byte of Linux's `struct tcp_info`, as `getsockopt(TCP_INFO)` returns it, is the state. In this one
-# neither end has closed.
-TCP_ESTABLISHED = 1
+# Linux's `struct tcp_info`, as `getsockopt(TCP_INFO)` returns it: its first byte is the state, and at this
+# offset are the milliseconds since the last segment with data arrived.
+LAST_DATA_RECEIVED_OFFSET = 52
+TCP_INFO_BYTES = LAST_DATA_RECEIVED_OFFSET + 4
+TCP_ESTABLISHED, TCP_FIN_WAIT_1, TCP_FIN_WAIT_2, TCP_CLOSE, TCP_CLOSE_WAIT = 1, 4, 5, 7, 8
+# States in which data can have arrived.
+DATA_STATES = frozenset((TCP_ESTABLISHED, TCP_FIN_WAIT_1, TCP_FIN_WAIT_2, TCP_CLOSE, TCP_CLOSE_WAIT))
 
 _hangup_poll = select.poll()  # one for all connections, as an object for each would cost memory
 
 
-def has_hung_up(sock: socket.socket) -> bool:
+def has_hung_up(descriptor: int) -> bool:
     """Whether the other end has closed or reset the connection, or ended its sending."""
-    descriptor = sock.fileno()
     try:
         _hangup_poll.register(descriptor, select.POLLRDHUP)
-        return bool(_hangup_poll.poll(0))
+        events = _hangup_poll.poll(0)
+        _hangup_poll.unregister(descriptor)
     except OSError:  # the system has no memory for the call
-        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != TCP_ESTABLISHED
-    finally:
         _hangup_poll.unregister(descriptor)
+        return _has_left_established_state(descriptor)
+    return bool(events)
+
+
+def _has_left_established_state(descriptor: int) -> bool:
+    with socket.socket(fileno=os.dup(descriptor)) as sock:
+        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != TCP_ESTABLISHED
+
+
+def seconds_since_last_data(sock: socket.socket) -> float | None:
+    """Seconds since data arrived at this machine on the connection; None where the system does not tell."""
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    except OSError:
+        return None
+    if len(info) < TCP_INFO_BYTES or info[0] not in DATA_STATES:
+        return None
+    return struct.unpack_from("=I", info, LAST_DATA_RECEIVED_OFFSET)[0] / 1000
