Log when and from which port each attempt was written, and count attempts withheld and why

The log had neither the time of an attempt's first byte nor its connection, and not how a client's close was seen.

Change: each attempt in the line of an unserved request has the time from the request's arrival to its first byte, and the port of its connection, in the text and as written_ms and port in JSON. "client left, seen before an attempt" says that the system told of the close. A metric counts attempts that had a connection and were withheld, by reason; causes in the log are these reasons. A request that went well still has no line.

--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -113,6 +113,23 @@
     run_on_loop(scenario)
 
 
+def test_the_log_and_the_metrics_tell_why_an_attempt_was_withheld(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with GatewayRig(tmp_path, serve) as rig:
+            await rig.ask(message(rid=b"warm"))
+            client = await used(rig)
+            async with held_up(rig):
+                client.send(message(rid=DEPARTED))
+                leave_by_close(client)
+            line = await rig.wait_for_log(DEPARTED.decode())
+            assert "client left, seen before an attempt" in line and "written" not in line
+            metrics = await rig.metrics()
+            assert metrics['gateway_attempts_withheld_total{reason="client_left"}'] == 1
+            assert metrics['gateway_attempts_withheld_total{reason="no_time_left"}'] == 0
+
+    run_on_loop(scenario)
+
+
 # Guards against: a request was retried after its client had left, as the refusal was read first (issue 39).
 @pytest.mark.parametrize("leave", WAYS_TO_LEAVE)
 def test_a_request_is_not_retried_when_its_client_left_while_the_process_was_held_up(
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -82,6 +82,9 @@
             assert raw["request"] == "9b1f03aa5c7e2d41" and raw["gateway"] == "n0" and raw["class"] == "pay"
             assert raw["status"] == 502 and raw["attempts"][0]["server"] == "s-0"
             assert raw["attempts"][0]["result"] == "error"
+            server_side = rig.hosts[0].seen[0].writer.get_extra_info("peername")
+            assert raw["attempts"][0]["port"] == server_side[1]
+            assert 0 <= raw["attempts"][0]["written_ms"] <= raw["took_ms"]
 
     run_on_loop(scenario)
 
--- a/yewstage/net/attempts.py
+++ b/yewstage/net/attempts.py
@@ -19,6 +19,9 @@
 MS_ROUNDING = 0.001  # a whole number of milliseconds stays one when it is cut to an integer
 # After a time-out the loop gets one or two turns to read data that has arrived, before the time-out counts.
 READ_GRACE_S = 0.002
+# Why an attempt was not written though it had a link; labels of a metric, and causes in the log.
+CLIENT_LEFT, NO_TIME_LEFT, START_DEADLINE_PASSED = "client_left", "no_time_left", "start_deadline_passed"
+WITHHOLD_REASONS = (CLIENT_LEFT, NO_TIME_LEFT, START_DEADLINE_PASSED)
 
 
 class AttemptOwner(Protocol):
@@ -72,6 +75,9 @@
         "may_have_sent",
         "is_streaming",
         "start_by",
+        "arrived_at",
+        "written_at",
+        "local_port",
         "ends_by",
         "body",
     )
@@ -103,16 +109,28 @@
         # is_waiting: for a link. may_have_sent: bytes may have left this process.
         self.is_waiting = self.may_have_sent = False
         self.is_done = self.is_streaming = False  # is_streaming: the answer is being streamed to the client
-        # For the log: how long the link had been idle (None: a new connection), and how the attempt ended.
+        # For the log: when the request arrived at this machine and when the first byte of the attempt was
+        # written (None: never), from which port; how long the link had been idle (None: a new connection),
+        # and how the attempt ended.
+        self.arrived_at = sent_at
+        self.written_at: float | None = None
+        self.local_port = 0
         self.idle_s: float | None = None
         self.result, self.took_s, self.cause = "out", 0.0, ""
 
+    def written_ms(self) -> float | None:
+        """Milliseconds from the arrival of the request to the first byte written; None if none was."""
+        return None if self.written_at is None else (self.written_at - self.arrived_at) * 1000
+
     def fields(self) -> dict[str, object]:
-        """Fields for the JSON log; `idle_ms` is None for a new connection."""
+        """Fields for the JSON log; `written_ms` is None without a byte written, `idle_ms` on a new link."""
+        written_ms = self.written_ms()
         return {
             "server": self.server,
             "result": self.result,
             "took_ms": round(self.took_s * 1000, 3),
+            "written_ms": None if written_ms is None else round(written_ms, 3),
+            "port": self.local_port,
             "idle_ms": None if self.idle_s is None else round(self.idle_s * 1000, 3),
             "cause": self.cause,
         }
@@ -120,7 +138,11 @@
     def __str__(self) -> str:
         origin = "new connection" if self.idle_s is None else f"idle for {self.idle_s * 1000:.0f} ms"
         cause = f": {self.cause}" if self.cause else ""
-        return f"{self.server} {self.result} in {self.took_s * 1000:.0f} ms ({origin}{cause})"
+        written_ms = self.written_ms()
+        written = (
+            "" if written_ms is None else f", written after {written_ms:.0f} ms from port {self.local_port}"
+        )
+        return f"{self.server} {self.result} in {self.took_s * 1000:.0f} ms{written} ({origin}{cause})"
 
     def connection_ready(self, link: Link) -> None:
         """Called by the pool with a link for this attempt."""
@@ -157,6 +179,7 @@
         **options: object,
     ) -> None:
         self.loop, self._owner, self._clock_s = loop, owner, clock_s
+        self.withheld_counts = dict.fromkeys(WITHHOLD_REASONS, 0)
         self.pool = Pool(loop, max_links, dial_timeout_ms, idle_limit_ms, self, descriptor_use, **options)
 
     def send(self, attempt: Attempt, timeout_s: float, start_within_s: float = math.inf) -> None:
@@ -174,6 +197,12 @@
                 min(wait_s, start_within_s), self._on_wait_timeout, attempt
             )
 
+    def metrics(self) -> dict[str, float]:
+        """Attempts that were not written though they had a link, by reason."""
+        return {
+            f'attempts_withheld_total{{reason="{reason}"}}': n for reason, n in self.withheld_counts.items()
+        }
+
     def cancel(self, attempt: Attempt) -> None:
         """Cancel an attempt by closing its link."""
         if not attempt.is_done:
@@ -185,11 +214,14 @@
         waits_until = min(self._owner.client_waits_until(attempt), attempt.ends_by)
         now = self._clock_s()
         if now >= waits_until or now > attempt.start_by:
+            cause = NO_TIME_LEFT if now >= waits_until else START_DEADLINE_PASSED
+            self.withheld_counts[CLIENT_LEFT if attempt.is_done else cause] += 1
             self.pool.release(link, reusable=True)
-            self.on_link_failed(attempt, api.START_EXPIRED, "start deadline passed or client disconnected")
+            self.on_link_failed(attempt, api.START_EXPIRED, cause)
             return
         self._stop_waiting(attempt)
         attempt.link, attempt.may_have_sent = link, True
+        attempt.written_at, attempt.local_port = now, link.local_port
         attempt.idle_s = now - link.idle_since if link.idle_since else None
         attempt.complete_head(min(waits_until - now, attempt.timeout_s))
         link.begin(attempt)
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -305,6 +305,7 @@
             self._body_metrics(),
             self._admission_metrics(),
             self.loop_monitor.metrics(),
+            self._attempt_runner.metrics(),
             *(
                 component.metrics()
                 for component in (self._claim_record, self._shares)
@@ -396,8 +397,8 @@
             max(left_ms - GUARD_MARGIN_MS, 0.0) / 1000, self._on_deadline, request
         )
 
-    def client_disconnected(self, request_id: str) -> None:
-        """Called when the client of a request has disconnected."""
+    def client_disconnected(self, request_id: str, why: str = "client left") -> None:
+        """Called when the client of a request has disconnected; `why` is the reason in the log."""
         request = self._requests.get(request_id)
         if request is not None and request.client is not None:
             if request.streaming_attempt is not None or request.client_request.upload is not None:
@@ -408,7 +409,7 @@
                 if a is not None and (a is request.streaming_attempt or a.upload is not None)
             ]
             self._close_request(request)
-            _log_unserved_request(request, 0, "client left")
+            _log_unserved_request(request, 0, why)
             self._post(api.ClientLeft(request_id))
             for attempt in streamed:  # a stream cannot continue without its client
                 self._attempt_runner.cancel(attempt)
@@ -536,6 +537,7 @@
             client_request.cls.name,
             client_request.body,
         )
+        attempt.arrived_at = request.received_at
         request.attempts.append(attempt)
         request.running_attempts += 1
         self._attempt_runner.send(attempt, max(wait_s, 0.0), action.start_deadline_ms / 1000)
@@ -548,7 +550,7 @@
         """
         request = self._requests[attempt.request]
         if request.client is not None and request.client.has_disconnected():
-            self.client_disconnected(request.id)
+            self.client_disconnected(request.id, "client left, seen before an attempt")
         return request.answer_by if request.client is not None else -math.inf
 
     def on_sent(self, attempt: Attempt) -> None:
--- a/yewstage/net/pool.py
+++ b/yewstage/net/pool.py
@@ -466,6 +466,7 @@
     def on_opened(self, link: Link) -> None:
         """Called when a link is connected."""
         link.opened_at_ms = self.clock_ms()
+        link.local_port = (link.transport.get_extra_info("sockname") or ("", 0))[1]
         # Random, as links that became idle together in a whole fleet would otherwise be redialled together.
         link.idle_share = self._rng.uniform(*IDLE_LIMIT_SHARES)
         self._links.add(link)
@@ -532,6 +533,7 @@
         self.idle_since = self.close_idle_at = 0.0
         self.idle_share = 0.0  # part of the server's idle limit after which the idle link is closed
         self.opened_at_ms = 0.0  # Unix time in milliseconds
+        self.local_port = 0  # for the log
         self._memory_account = pool.budget.open_account("answers")  # of the answer that is being buffered
         self._pending_reply: tuple[Exchange, Reply, bool] | None = None
         self._stream: Stream | None = None  # reader of the answer, if it is streamed
