Keep the ports of a killed process of the fault rig until it starts again

Seen: test_holding_groups and test_members failed once each beside other test runs with "address already in use", when the rig started a killed process again on the port that it had.

Cause: the ports are from the ephemeral range, and nothing held them while the process was down, so that a connection of any program could take one. That a connection took it is inferred from the message.

Change: once a process has ended, the rig holds its TCP ports by sockets that are bound and do not listen; binds without SO_REUSEADDR and ports of connections avoid them, connections to them are refused as before, and the process can listen again. Datagram ports are not held, as a bound socket would swallow what a dead member has to lose.

--- a/plumwall/faults/child.py
+++ b/plumwall/faults/child.py
@@ -6,6 +6,9 @@
 import os
 import signal
 
+from plumwall.faults.held_ports import HeldPorts
+
+HOST = "127.0.0.1"
 LOG_LINES_KEPT = 500
 
 
@@ -18,6 +21,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.lines: list[str] = []
         self._read_task: asyncio.Task | None = None
+        self.held_ports = HeldPorts(HOST)  # of the process while it is down
 
     def read_on(self) -> None:
         """Start to read the log in the background. Called at the end of a start, which reads the first lines
--- a/plumwall/faults/gateways.py
+++ b/plumwall/faults/gateways.py
@@ -48,6 +48,7 @@
                 break
         else:
             raise RuntimeError(f"{self.name} ended during its start: {self.lines[-3:]}")
+        self.held_ports.release()
         self.read_on()
         while not await is_ready(HOST, self.listen):
             await asyncio.sleep(READY_POLL_INTERVAL_S)
@@ -81,12 +82,15 @@
     async def terminate(self) -> int:
         """Terminate the process with SIGTERM; returns the exit status."""
         self.process.terminate()
-        return await self.process.wait()
+        status = await self.process.wait()
+        self.held_ports.hold((self.listen, self.ops))
+        return status
 
     async def kill(self) -> None:
         """Kill the process with SIGKILL; its state in memory is lost."""
         kill(self.process)
         await self.process.wait()
+        self.held_ports.hold((self.listen, self.ops))
 
 
 def listed(name: str, port: int, cell: int = 0) -> dict[str, object]:
--- a/plumwall/faults/machines.py
+++ b/plumwall/faults/machines.py
@@ -14,14 +14,13 @@
 import msgspec
 
 from plumwall.emulator.process import kill, spawn_module
-from plumwall.faults.child import Child
+from plumwall.faults.child import HOST, Child
 from plumwall.faults.links import TcpFaultProxy
 from yewstage.holding.group_names import LIST_GROUP, PLACEMENT_GROUP
 from yewstage.holding.member_changes import founder_and_members
 from yewstage.raft.disk import encode_record
 from yewstage.registry.client import ServiceClient, get_once
 
-HOST = "127.0.0.1"
 ZONES = ("a", "b", "c")
 STATUS_TIMEOUT_S = 1.0
 
@@ -87,19 +86,23 @@
             elif "listening on" in line:
                 self.listen = port
                 break
+        self.held_ports.release()
         self.read_on()
 
     async def kill(self, delete_state: bool = False) -> None:
         """Kill the process with SIGKILL; with `delete_state`, delete its stored state as well."""
         kill(self.process)
         await self.process.wait()
+        self.held_ports.hold((self.peer, self.listen, self.ops))
         if delete_state:
             shutil.rmtree(self.folder / "state", ignore_errors=True)
 
     async def terminate(self) -> int:
         """Terminate the process with SIGTERM; returns the exit status."""
         self.process.send_signal(signal.SIGTERM)
-        return await self.process.wait()
+        status = await self.process.wait()
+        self.held_ports.hold((self.peer, self.listen, self.ops))
+        return status
 
     def fill_disk(self, room: int) -> None:
         """Emulate a full disk: no file may grow past the size of the largest one now plus `room` bytes."""
