Do not wrap tables that go into a pipe or a file

Seen: `plumwall holding status | grep "forgets what"` found nothing, and a test failed, where one process led all groups: the column of groups was wide, and the table broke the remark after "it forgets".

Cause: without a terminal, tables had a width of 160 characters, and longer rows were wrapped.

Change: a pipe or file gets each row as one line, however long.

--- a/plumwall/cli/console.py
+++ b/plumwall/cli/console.py
@@ -16,13 +16,13 @@
 
 EXIT_SUCCESS, EXIT_FAILURE, EXIT_BAD_USAGE = 0, 1, 2
 PROGRESS_INTERVAL_S = 2.0  # between progress lines, if stderr is not a terminal
-TABLE_WIDTH_CHARS = 160  # if the output is not a terminal
+PIPE_WIDTH_CHARS = 100_000  # if the output is not a terminal: no line is wrapped, so that `grep` finds text
 
 
 def _make_console(stderr: bool) -> Console:
     console = Console(stderr=stderr, highlight=False, soft_wrap=True)
     if not console.is_terminal:
-        console.width = TABLE_WIDTH_CHARS
+        console.width = PIPE_WIDTH_CHARS
     return console
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -8,6 +8,7 @@
 import pytest
 from click.testing import CliRunner, Result
 
+from plumwall.cli.console import print_table
 from plumwall.cli.main import COMMANDS, cli
 
 
@@ -50,3 +51,10 @@
     path.write_text(text)
     result = invoke("config", "check", str(path))
     assert result.exit_code == 2 and field in result.output and len(result.output.splitlines()) == 1
+
+
+# Guards against: a table is wrapped as for a screen, so that a text can't be found in what a pipe gets.
+def test_each_row_of_a_table_is_one_line_in_a_pipe(capsys: pytest.CaptureFixture[str]) -> None:
+    text = ", ".join(["replace the disk of m1: it forgets what it said to be durable"] * 4)
+    print_table(("process", "leads", "remark"), [("m0", "group " * 60, text)])
+    assert any(line.rstrip().endswith(text) for line in capsys.readouterr().out.splitlines())
