--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -531,6 +531,9 @@
     def __init__(self) -> None:
         self.ended = asyncio.Event()
 
+    def is_client_connected(self, attempt: Attempt) -> bool:
+        return True
+
     def client_waits_until(self, attempt: Attempt) -> float:
         return math.inf
 
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -284,6 +284,9 @@
     def __init__(self, note: Callable[[str], None]) -> None:
         self._note = note
 
+    def is_client_connected(self, attempt: Attempt) -> bool:
+        return True
+
     def client_waits_until(self, attempt: Attempt) -> float:
         return math.inf
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -63,6 +63,9 @@
         self.attempt_runner.send(attempt, timeout_s)
         return attempt
 
+    def is_client_connected(self, attempt: Attempt) -> bool:
+        return True
+
     def client_waits_until(self, attempt: Attempt) -> float:
         return self.loop.now + self.client_time_left_s
 
--- a/yewstage/net/attempts.py
+++ b/yewstage/net/attempts.py
@@ -30,8 +30,13 @@
     def client_waits_until(self, attempt: Attempt) -> float:
         """Until when the attempt's client waits for the answer, in seconds of the runner's clock.
 
-        It is in the past if the client has left or is answered, and infinite while its time does not run yet.
-        Called just before the first byte of the attempt is written, which is not written after that time.
+        It is in the past if the client is answered, and infinite while its time does not run yet.
+        """
+
+    def is_client_connected(self, attempt: Attempt) -> bool:
+        """Whether the attempt's client is still there, by the system.
+
+        Called last before the first byte of the attempt is written, which is not written without a client.
         """
 
     def on_sent(self, attempt: Attempt) -> None:
@@ -214,17 +219,24 @@
         waits_until = min(self._owner.client_waits_until(attempt), attempt.ends_by)
         now = self._clock_s()
         if now >= waits_until or now > attempt.start_by:
-            cause = NO_TIME_LEFT if now >= waits_until else START_DEADLINE_PASSED
-            self.withheld_counts[CLIENT_LEFT if attempt.is_done else cause] += 1
-            self.pool.release(link, reusable=True)
-            self.on_link_failed(attempt, api.START_EXPIRED, cause)
+            self._withhold(attempt, link, NO_TIME_LEFT if now >= waits_until else START_DEADLINE_PASSED)
             return
-        self._stop_waiting(attempt)
-        attempt.link, attempt.may_have_sent = link, True
-        attempt.written_at, attempt.local_port = now, link.local_port
         attempt.idle_s = now - link.idle_since if link.idle_since else None
         attempt.complete_head(min(waits_until - now, attempt.timeout_s))
+        # The client is asked for last: it may leave while the process is held up before the write.
+        if not self._owner.is_client_connected(attempt):
+            self._withhold(attempt, link, CLIENT_LEFT)
+            return
+        attempt.link, attempt.may_have_sent = link, True
         link.begin(attempt)
+        attempt.written_at, attempt.local_port = now, link.local_port
+        self._stop_waiting(attempt)
+
+    def _withhold(self, attempt: Attempt, link: Link, reason: str) -> None:
+        """End an attempt that has a link and may not be written any more."""
+        self.withheld_counts[reason] += 1
+        self.pool.release(link, reusable=True)
+        self.on_link_failed(attempt, api.START_EXPIRED, reason)
 
     def on_link_failed(self, attempt: Attempt, result: str, cause: str) -> None:
         """End an attempt for which there is no link."""
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -543,15 +543,20 @@
         self._attempt_runner.send(attempt, max(wait_s, 0.0), action.start_deadline_ms / 1000)
 
     def client_waits_until(self, attempt: Attempt) -> float:
-        """Until when the client waits, by the monotonic clock; minus infinity if it has left or is answered.
+        """Until when the client waits, by the monotonic clock; minus infinity without a client."""
+        request = self._requests[attempt.request]
+        return request.answer_by if request.client is not None else -math.inf
 
-        This alone decides whether the first byte of an attempt is written. A client that is found to have
-        left counts as disconnected from now on.
+    def is_client_connected(self, attempt: Attempt) -> bool:
+        """Whether the client is still there, by the system. One that has left counts as disconnected at once.
+
+        With `client_waits_until`, this alone decides whether the first byte of an attempt is written.
         """
         request = self._requests[attempt.request]
-        if request.client is not None and request.client.has_disconnected():
-            self.client_disconnected(request.id, "client left, seen before an attempt")
-        return request.answer_by if request.client is not None else -math.inf
+        if request.client is None or not request.client.has_disconnected():
+            return request.client is not None
+        self.client_disconnected(request.id, "client left, seen before an attempt")
+        return False
 
     def on_sent(self, attempt: Attempt) -> None:
         """Called when the last byte of an attempt was written."""
