--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,9 +1,10 @@
-"""Clients that send a long request at once and go; later ordinary clients ask for long answers."""
+"""Clients that send two requests at once and go; later ordinary clients ask for long answers."""
 
 from __future__ import annotations
 
 import asyncio
 import random
+import socket
 import sys
 import time
 from pathlib import Path
@@ -13,11 +14,11 @@
 import rig
 
 MEMORY_MB = 64
-BAD_CLIENTS, BAD_RATE = 120, 6.0  # in all; a second
-BAD_BODY_BYTES = 100_000
+BAD_CLIENTS, BAD_RATE = 150, 10.0  # in all; a second
+BAD_BODY_BYTES = 120_000
 QUIET_S = 5.0  # from the last bad client to the first long answer
-LONG_REQUESTS, LONG_RATE = 60, 6.0
-LONG_ANSWER_BYTES = 1_000_000
+LONG_REQUESTS, LONG_RATE, LONG_AT_ONCE = 60, 6.0, 5  # in all; a second; at a time
+LONG_ANSWER_BYTES = 3_000_000
 SHORT_RATE = 10.0  # ordinary short requests, all the time
 SERVERS = 3
 WORK_S = 0.03, 0.08
@@ -61,17 +62,15 @@
         self._serial = 0
         self.long_served = self.short_served = self.lost = 0
 
-    async def go_after_sending(self, number: int) -> None:
-        """A bad client: it sends a long request at once and goes."""
-        _, writer = await asyncio.open_connection(rig.HOST, self._port)
-        request_id = f"gone{number:04d}"
+    def go_after_sending(self, number: int) -> None:
+        """A bad client: it sends a short and a long request at once and goes."""
         customer = self._rng.randrange(1, 41)
-        writer.write(rig.request(request_id, "post-remittance", customer, DEADLINE_MS, b"x" * BAD_BODY_BYTES))
-        await writer.drain()
-        while writer.transport.get_write_buffer_size():
-            await asyncio.sleep(0.001)
-        writer.close()
-        self._record.write(f"{request_id}: sent, and the client goes")
+        name, body = f"gone{number:04d}", b"x" * BAD_BODY_BYTES
+        data = rig.request(f"{name}a", "view-statement", customer, DEADLINE_MS)
+        data += rig.request(f"{name}b", "post-remittance", customer, DEADLINE_MS, body)
+        with socket.create_connection((rig.HOST, self._port)) as connection:
+            connection.sendall(data)
+        self._record.write(f"{name}: sent, and the client goes")
 
     async def ask(self, kind: str) -> None:
         """An ordinary request on a new connection."""
@@ -108,12 +107,13 @@
         writer.close()
         self._record.write(f"{request_id}: {result} after {time.monotonic() - sent_at:.3f} s")
 
-    async def ask_often(self, kind: str, count: int, rate: float) -> None:
-        """`count` requests at random times."""
+    async def ask_often(self, kind: str, count: int, rate: float, at_once: int = 1) -> None:
+        """`count` requests at random times, `at_once` of them together."""
         async with asyncio.TaskGroup() as group:
-            for _ in range(count):
-                group.create_task(self.ask(kind))
-                await asyncio.sleep(self._rng.expovariate(rate))
+            for _ in range(count // at_once):
+                for _ in range(at_once):
+                    group.create_task(self.ask(kind))
+                await asyncio.sleep(self._rng.expovariate(rate / at_once))
 
 
 async def case(record: rig.Record, has_trouble: bool) -> bool:
@@ -125,16 +125,16 @@
         bad_s = BAD_CLIENTS / BAD_RATE
         length_s = bad_s + QUIET_S + LONG_REQUESTS / LONG_RATE
         short = asyncio.create_task(clients.ask_often("short", int(length_s * SHORT_RATE), SHORT_RATE))
-        await clients.ask_often("long", 10, LONG_RATE)
+        await clients.ask_often("long", 10, LONG_RATE, LONG_AT_ONCE)
         before = clients.long_served
         record.write(f"long answers before: {before} of 10")
         for number in range(BAD_CLIENTS):
             if has_trouble:
-                await clients.go_after_sending(number)
+                clients.go_after_sending(number)
             await asyncio.sleep(1 / BAD_RATE)
         await asyncio.sleep(QUIET_S)
         record.write("the bad clients have been gone for some seconds")
-        await clients.ask_often("long", LONG_REQUESTS, LONG_RATE)
+        await clients.ask_often("long", LONG_REQUESTS, LONG_RATE, LONG_AT_ONCE)
         await short
     record.write(
         f"long answers served {clients.long_served - before} of {LONG_REQUESTS}, "
