Let a client's connection own its streamed bodies, and close them however it ends

Cause: an Upload begins an account of the memory budget in its constructor, and only an answer or an attempt that had written a byte ended it. Every other end left it open: a queued request dropped by the client's close, half-close or reset, one dropped with an invalid body, a request found abandoned as its first byte was to be written. The bytes of abandoned accounts fill the budget, so that no stream gets a turn, and evicting them frees nothing.

Change: the connection owns every Upload from its creation (`_open_uploads`) and closes it with the request, when the request is dropped, when the client is seen to have left, and at the latest when the connection is lost. What is held back is a property of each upload, so one body's progress no longer resumes reading for another. A client that is seen to have left is treated as one whose end was read: its queue is dropped and reading goes on up to the end. Upload has a module of its own.

--- a/yewstage/net/attempts.py
+++ b/yewstage/net/attempts.py
@@ -12,9 +12,10 @@
 from typing import Protocol
 
 from yewstage import interface as api
-from yewstage.net.http1 import Reply, Upload
+from yewstage.net.http1 import Reply
 from yewstage.net.pool import ABANDONED, Link, Pool, Source, Stream
 from yewstage.net.stats import DescriptorUse
+from yewstage.net.upload import Upload
 
 MS_ROUNDING = 0.001  # a whole number of milliseconds stays one when it is cut to an integer
 # After a time-out the loop gets one or two turns to read data that has arrived, before the time-out counts.
@@ -287,7 +288,7 @@
             attempt.timer.cancel()
         # A body of which nothing was sent is still complete and can be sent to another server.
         if attempt.upload is not None and attempt.may_have_sent:
-            attempt.upload.detach()
+            attempt.upload.close()
         self._owner.on_ended(attempt, result, reply)
 
     # --- Events of links ----------------------------------------------------------------------------------
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -19,10 +19,11 @@
 from yewstage import interface as api
 from yewstage.log import Event
 from yewstage.net.core import ClientRequest, Core
-from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES, Upload, limit_socket_buffer
+from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES, limit_socket_buffer
 from yewstage.net.loop_monitor import STALL_THRESHOLD_S, ReadGap
 from yewstage.net.pool import Source
 from yewstage.net.socket_state import has_hung_up, seconds_since_last_data
+from yewstage.net.upload import Upload
 
 log = logging.getLogger(__name__)
 
@@ -246,7 +247,7 @@
         "_is_closing",
         "_is_processing_queue",
         "_is_queue_full",
-        "_is_upload_paused",
+        "_open_uploads",
         "_is_budget_paused",
         "_is_flushing",
         "_request_account",
@@ -280,7 +281,8 @@
         self._is_chunked = self._is_self_delimited = self._keeps_alive = False
         self._is_closing = False
         self._is_processing_queue = False
-        self._is_queue_full = self._is_upload_paused = False  # each of them pauses reading
+        self._is_queue_full = False  # pauses reading, as do uploads that are held back
+        self._open_uploads: tuple[Upload, ...] = ()  # closed with the connection at the latest
         # The memory budget pauses the streamed answer; a complete answer is not yet written in full.
         self._is_budget_paused = self._is_flushing = False
         self._request_account = listener.core.budget.open_account("requests")
@@ -410,8 +412,7 @@
         The transport closes itself once its buffer is written. A streamed answer is aborted, since a client
         that does not read would keep it in memory.
         """
-        self._is_closing = True
-        self._pending_requests.clear()
+        self._release_requests()
         if self._answer_source is not None:
             self.transport.abort()
         else:
@@ -421,24 +422,45 @@
         """Whether the client has closed the connection or ended its sending, by asking the system.
 
         The event loop reads the end of the connection in a later turn than the request before it, and not at
-        all while reading is paused.
+        all while reading is paused. A client that has left is owed nothing, so its requests are released and
+        the connection is read to its end.
         """
         if self.transport.is_closing():
             return True
         if self._descriptor < 0:
             self._descriptor = self.transport.get_extra_info("socket").fileno()
         is_hung_up = has_hung_up(self._descriptor)
-        if is_hung_up and self._read_paused_at_s is not None:
-            self.transport.abort()
+        if is_hung_up:
+            self._release_requests()
         return is_hung_up
 
+    def _release_requests(self) -> None:
+        """Drop the queued requests and what is held of bodies: nothing more is begun for this client."""
+        self._is_closing = True
+        self._drop_queued_requests()
+        for upload in self._open_uploads:
+            upload.close()
+        self._update_reading()
+
+    def _drop_queued_requests(self) -> None:
+        """Drop the requests whose processing has not begun, with what is held of their bodies."""
+        dropped = list(self._pending_requests)
+        self._pending_requests.clear()
+        for item in dropped:
+            if isinstance(item, _RequestMessage) and item.upload is not None:
+                item.upload.close()
+        self._is_queue_full = False
+        self._request_account.set(self._buffered_request_bytes())
+
+    def _discard_upload(self, upload: Upload) -> None:
+        self._open_uploads = tuple(other for other in self._open_uploads if other is not upload)
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._listener.closed(self)
+        self._answer_source = None
+        self._release_requests()
         self._request_account.end()
         self._answer_account.end()
-        self._is_closing = True
-        self._pending_requests.clear()
-        self._answer_source = None
         self._release_open_request()
 
     def _release_open_request(self) -> None:
@@ -538,8 +560,13 @@
             return
         message.arrived_at_s = self._read_arrived_at_s
         message.upload = Upload(
-            message.content_length, self._pause_upload, self._core.budget.open_account("uploads"), self._evict
+            message.content_length,
+            self._core.budget.open_account("uploads"),
+            self._update_reading,
+            self._discard_upload,
+            self._evict,
         )
+        self._open_uploads += (message.upload,)
         message.awaits_continue = (
             message.headers.get(b"expect", b"").lower() == b"100-continue" and not message.body_bytes
         )
@@ -602,6 +629,7 @@
             self._reject(status)
         elif message is not self._current_request:
             self._pending_requests.remove(message)
+            message.upload.close()
             self._reject(status)
         elif self._is_answer_due and self._answer_source is None:
             self._release_open_request()
@@ -610,15 +638,9 @@
         else:
             self.transport.abort()
 
-    def _pause_upload(self, is_paused: bool) -> None:
-        """Pause or resume reading an uploaded body, as its server connection asks."""
-        if is_paused != self._is_upload_paused:
-            self._is_upload_paused = is_paused
-            self._update_reading()
-
     def _update_reading(self) -> None:
-        """Pause reading while the queue is full or the upload is held back, else resume it."""
-        should_pause = self._is_queue_full or self._is_upload_paused
+        """Pause reading while the queue is full or an upload is held back, else resume it."""
+        should_pause = self._is_queue_full or any(upload.is_held_back for upload in self._open_uploads)
         if should_pause == (self._read_paused_at_s is not None) or self.transport.is_closing():
             return
         now = self._listener.now()
@@ -706,7 +728,7 @@
         self.answered_count += 1
         self.phase_started_at_s = self._listener.now()
         if self._current_request is not None and self._current_request.upload is not None:
-            self._current_request.upload.detach()
+            self._current_request.upload.close()
 
     def answer(
         self, status: int, body: bytes = b"", content_type: bytes = b"", retry_after_ms: float = 0.0
@@ -803,7 +825,7 @@
             or message is not self._current_request
         ):
             self._is_closing = True
-            self._pending_requests.clear()
+            self._drop_queued_requests()
             self.transport.write_eof()
             self._listener.loop.call_later(LINGER_TIMEOUT_S, self.transport.close)
         else:  # reads and discards the rest of its body: see `on_message_complete`
@@ -825,6 +847,8 @@
     def check_timeouts(self, now: float) -> None:
         """Enforce the time limits for idling, for sending a request and for reading an answer."""
         message = self._message
+        if self._read_paused_at_s is not None and self.has_disconnected():
+            return  # reading goes on, up to the end of the connection
         if self._write_blocked_at_s is not None and now - self._write_blocked_at_s > ANSWER_READ_TIMEOUT_S:
             self.transport.abort()  # otherwise clients that do not read would hold descriptors
         elif self._is_closing:
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -25,10 +25,11 @@
 from yewstage.net.config import Config
 from yewstage.net.counter import Counter
 from yewstage.net.discovery import ON_REQUEST_TIMEOUTS, PUSHED_TIMEOUTS, Discovery, Listing
-from yewstage.net.http1 import Reply, Upload
+from yewstage.net.http1 import Reply
 from yewstage.net.loop_monitor import LoopMonitor
 from yewstage.net.pool import Source
 from yewstage.net.stats import THROTTLED_STATUSES, DescriptorUse, Stats
+from yewstage.net.upload import Upload
 from yewstage.policy import Gateway
 
 if TYPE_CHECKING:
--- a/yewstage/net/http1.py
+++ b/yewstage/net/http1.py
@@ -10,7 +10,6 @@
 
 import httptools
 
-from yewstage.net.budget import MemoryAccount
 from yewstage.net.stats import DescriptorUse
 
 MAX_BUFFERED_BODY_BYTES = 64 * 1024  # bytes buffered whole; longer bodies are streamed
@@ -44,87 +43,6 @@
         sock.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
 
 
-class Upload:
-    """A request body streamed from a client to a server, with backpressure on the client.
-
-    Without a content length it is sent in chunked transfer coding. `pause_client` pauses or resumes reading
-    from the client; `evict` ends the client's connection when the memory budget asks for it.
-    """
-
-    def __init__(
-        self,
-        content_length: int | None,
-        pause_client: Callable[[bool], None],
-        account: MemoryAccount,
-        evict: Callable[[], None],
-    ) -> None:
-        self._content_length, self._pause_client = content_length, pause_client
-        # Either of the two flags pauses the client.
-        self._account, self._is_full, self._is_budget_paused = account, False, False
-        account.begin(self._pause_for_budget, evict)
-        self._unsent: list[bytes] = []  # until a server connection is attached
-        self._unsent_bytes = 0
-        self._server_connection: ReplyProtocol | None = None
-        self.is_complete = self._is_detached = False  # received to the end; the rest is discarded
-
-    def feed(self, data: bytes) -> None:
-        """Forward a part of the body, as received from the client."""
-        if self._is_detached:
-            return
-        if self._content_length is None:
-            data = b"%x\r\n%b\r\n" % (len(data), data)
-        self._forward(data)
-
-    def finish(self) -> None:
-        """Mark the body as complete and send the end of its framing."""
-        self.is_complete = True
-        if not self._is_detached:
-            self._forward(b"0\r\n\r\n" if self._content_length is None else b"")
-
-    def attach(self, server_connection: ReplyProtocol, head: bytes) -> None:
-        """Send the head and the body received so far on this connection, and the rest as it arrives."""
-        self._server_connection = server_connection
-        limit_socket_buffer(server_connection.transport, socket.SO_SNDBUF)
-        unsent, self._unsent = self._unsent, []
-        self._forward(b"".join((head, *unsent)))
-
-    def detach(self) -> None:
-        """End the forwarding; the rest of the body is read from the client and discarded."""
-        self._is_detached, self._server_connection = True, None
-        self._unsent.clear()
-        self._account.end()
-        self._is_full = self._is_budget_paused = False
-        self._pause_client(False)
-
-    def drained(self) -> None:
-        """Note that the server connection's write buffer is empty."""
-        self._set_held_bytes(0)
-
-    def _pause_for_budget(self, is_paused: bool) -> None:
-        """Pause or resume the client on behalf of the memory budget."""
-        self._is_budget_paused = is_paused
-        self._pause_client(self._is_full or self._is_budget_paused)
-
-    def _set_held_bytes(self, held_bytes: int, max_bytes: int = 0) -> None:
-        """Account for the bytes held in memory; more than `max_bytes` pause the client."""
-        self._is_full = held_bytes > max_bytes
-        self._account.set(held_bytes)
-        self._pause_client(self._is_full or self._is_budget_paused)
-
-    def _forward(self, data: bytes) -> None:
-        if self._server_connection is None:
-            self._unsent.append(data)
-            self._unsent_bytes += len(data)
-            self._set_held_bytes(self._unsent_bytes, MAX_BUFFERED_BODY_BYTES - 1)
-            return
-        if self._server_connection.transport.is_closing():
-            return  # its connection_lost will be called
-        if data:
-            self._server_connection.transport.write(data)
-        self._set_held_bytes(self._server_connection.transport.get_write_buffer_size())
-        self._server_connection.flushed()
-
-
 class ConnectAttempt:
     """One attempt to connect with a time limit; its descriptor is counted from the start.
 
--- a/yewstage/net/pool.py
+++ b/yewstage/net/pool.py
@@ -24,10 +24,10 @@
     ConnectAttempt,
     Reply,
     ReplyProtocol,
-    Upload,
     limit_socket_buffer,
 )
 from yewstage.net.stats import DescriptorUse
+from yewstage.net.upload import Upload
 
 # An idle link is closed after a random part, in this range, of the server's idle limit.
 IDLE_LIMIT_SHARES = 0.5, 0.8
--- /dev/null
+++ b/yewstage/net/upload.py
@@ -0,0 +1,104 @@
+"""A request body that is streamed from a client to a server, with backpressure on the client."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+
+from yewstage.net.budget import MemoryAccount
+from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES, ReplyProtocol, limit_socket_buffer
+
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+class Upload:
+    """A streamed request body, from its first bytes until `close`.
+
+    The connection of the client owns it and closes it, at the latest when the connection is lost. An open
+    upload is a stream of the memory budget. Without a content length it is sent in chunked transfer coding.
+
+    `on_flow_change` is called when `is_held_back` may have changed, `on_close` once, and `evict` when the
+    memory budget asks to end the client's connection.
+    """
+
+    def __init__(
+        self,
+        content_length: int | None,
+        account: MemoryAccount,
+        on_flow_change: Callable[[], None],
+        on_close: Callable[[Upload], None],
+        evict: Callable[[], None],
+    ) -> None:
+        self._content_length, self._account = content_length, account
+        self._on_flow_change, self._on_close = on_flow_change, on_close
+        self._is_full = self._is_budget_paused = False  # either of them holds the client back
+        self._unsent: list[bytes] = []  # until a server connection is attached
+        self._unsent_bytes = 0
+        self._server_connection: ReplyProtocol | None = None
+        self.is_complete = False  # received to its end
+        self.is_closed = False  # nothing is forwarded any more
+        account.begin(self._pause_for_budget, evict)
+
+    @property
+    def is_held_back(self) -> bool:
+        """Whether no more of the body is to be read from the client for now."""
+        return self._is_full or self._is_budget_paused
+
+    def feed(self, data: bytes) -> None:
+        """Forward a part of the body, as received from the client."""
+        if self._content_length is None:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._forward(data)
+
+    def finish(self) -> None:
+        """Mark the body as complete and send the end of its framing."""
+        self.is_complete = True
+        self._forward(LAST_CHUNK if self._content_length is None else b"")
+
+    def attach(self, server_connection: ReplyProtocol, head: bytes) -> None:
+        """Send the head and the body received so far on this connection, and the rest as it arrives."""
+        self._server_connection = server_connection
+        limit_socket_buffer(server_connection.transport, socket.SO_SNDBUF)
+        unsent, self._unsent = self._unsent, []
+        self._forward(b"".join((head, *unsent)))
+
+    def close(self) -> None:
+        """End the forwarding and release the memory; the rest of the body is discarded."""
+        if self.is_closed:
+            return
+        self.is_closed, self._server_connection = True, None
+        self._unsent.clear()
+        self._account.end()
+        self._is_full = self._is_budget_paused = False
+        self._on_close(self)
+        self._on_flow_change()
+
+    def drained(self) -> None:
+        """Note that the server connection's write buffer is empty."""
+        if not self.is_closed:
+            self._set_held_bytes(0)
+
+    def _pause_for_budget(self, is_paused: bool) -> None:
+        self._is_budget_paused = is_paused
+        self._on_flow_change()
+
+    def _set_held_bytes(self, held_bytes: int, max_bytes: int = 0) -> None:
+        """Account for the bytes held in memory; more than `max_bytes` hold the client back."""
+        self._is_full = held_bytes > max_bytes
+        self._account.set(held_bytes)
+        self._on_flow_change()
+
+    def _forward(self, data: bytes) -> None:
+        if self.is_closed:
+            return
+        if self._server_connection is None:
+            self._unsent.append(data)
+            self._unsent_bytes += len(data)
+            self._set_held_bytes(self._unsent_bytes, MAX_BUFFERED_BODY_BYTES - 1)
+            return
+        if self._server_connection.transport.is_closing():
+            return  # its connection_lost will be called
+        if data:
+            self._server_connection.transport.write(data)
+        self._set_held_bytes(self._server_connection.transport.get_write_buffer_size())
+        self._server_connection.flushed()
