End the memory budget's pause of a stream together with the stream

Cause: a connection notes that the budget pauses its stream, and the budget alone takes that back, but MemoryBudget.stream_finished forgot a paused stream without resuming it.

Change: stream_finished resumes the reading that it paused. Upload needs no code of its own for it any more.

--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 import pytest
 
@@ -131,6 +132,18 @@
     assert rig.evicted and rig.evicted == stalled[: len(rig.evicted)] and rig.read(waiting)
 
 
+# Guards against: a connection kept the pause of an ended stream, and its next long answer hung for good.
+@pytest.mark.parametrize("end", [MemoryAccount.finish, MemoryAccount.end])
+def test_the_pause_of_a_stream_ends_with_the_stream(end: Callable[[MemoryAccount], None]) -> None:
+    rig = StreamBudget()
+    streams = [rig.open() for _ in range(40)]
+    for account in streams:
+        rig.read(account)
+    assert rig.budget.is_under_pressure and all(rig.paused.values())
+    end(streams[0])
+    assert rig.budget.is_under_pressure and not rig.paused[streams[0]]
+
+
 def test_no_stream_is_evicted_while_none_waits_for_memory() -> None:
     rig = StreamBudget()
     for account in [rig.open() for _ in range(40)]:
@@ -180,6 +193,7 @@
                     small[-1].set(size)
         rig.budget.check()
         streams = sum(account.bytes for account in rig.paused)
+        assert not any(rig.paused[account] for account in rig.paused if account.pause_reading is None)
         assert (
             rig.budget.held
             == sum(rig.budget.held_bytes_by_purpose().values())
--- a/tests/test_released_memory.py
+++ b/tests/test_released_memory.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 import pytest
-from conftest import FakeHttpServer, GatewayRig, message, run_on_loop, serve, silent
+from conftest import FakeHttpServer, GatewayRig, message, read_message, run_on_loop, serve, silent
 from scripted_core import core_with
 from test_bodies import CHUNKED, ScriptedServerRig, in_chunks
 from test_departed_clients import WAYS_TO_LEAVE, Leave, connect, held_up, leave_by_reset
@@ -133,3 +133,30 @@
             await until_released(rig, "a body that was held back")
 
     run_on_loop(scenario, LIMIT_S)
+
+
+# Guards against: a long answer hung for good, as an earlier one on its connection had ended while paused.
+def test_a_long_answer_is_not_held_back_by_an_earlier_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        core, _ = await core_with(monkeypatch, FakeHttpServer(silent))
+        connection = ClientConnection(ClientListener(core, asyncio.get_running_loop(), 100))
+        transport = FullTransport(connection)
+        connection.connection_made(transport)
+        pauses: list[bool] = []
+        source = type("Link", (), {"pause": lambda link, is_paused: pauses.append(is_paused)})()
+
+        def begin_answer() -> None:
+            connection.data_received(message())
+            connection.begin_stream(None, b"", source)
+
+        begin_answer()
+        others = core.budget.open_account("requests")
+        others.set(core.budget.high_bytes + 1)
+        connection.write_body(b"more")
+        assert core.budget.is_under_pressure and pauses[-1]
+        connection.end_stream()
+        others.end()
+        begin_answer()
+        assert not core.budget.is_under_pressure and not pauses[-1]
+
+    run_on_loop(scenario)
--- a/yewstage/net/budget.py
+++ b/yewstage/net/budget.py
@@ -145,12 +145,15 @@
             self._resume_streams()
 
     def stream_finished(self, account: MemoryAccount) -> None:
-        """Remove a stream."""
+        """Remove a stream. A pause of its reading ends with it, as nobody else would resume it."""
         self._streams.pop(account, None)
         self._paused_streams.pop(account, None)
         self._turn_started_at_s.pop(account, None)
+        pause_reading, is_paused = account.pause_reading, account.is_paused
         account.pause_reading = account.evict = None
         account.is_paused = account.has_turn = False
+        if is_paused:
+            pause_reading(False)
         if self.is_under_pressure:
             self._resume_streams()
 
--- a/yewstage/net/upload.py
+++ b/yewstage/net/upload.py
@@ -68,8 +68,8 @@
             return
         self.is_closed, self._server_connection = True, None
         self._unsent.clear()
-        self._account.end()
-        self._is_full = self._is_budget_paused = False
+        self._account.end()  # with the budget's pause
+        self._is_full = False
         self._on_close(self)
         self._on_flow_change()
 
