Serve a long request that follows a readiness check on its connection

What callers would see: a long request whose body came behind `GET /ready` on one connection was sent to a server in part and never ended: its body was discarded, no time limit applied, and its connections and memory stayed held.

Cause: the answer to a readiness check marked the connection as closing, also where a request was being received behind it. What is read on a closing connection is discarded.

Change: the connection closes after a readiness check only if nothing follows the check.

--- a/tests/test_released_memory.py
+++ b/tests/test_released_memory.py
@@ -160,3 +160,20 @@
         assert not core.budget.is_under_pressure and not pauses[-1]
 
     run_on_loop(scenario)
+
+
+# Guards against: a long request behind a readiness check was sent on in part, and held a connection for good.
+def test_a_long_request_behind_a_readiness_check_is_served(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with GatewayRig(tmp_path, serve) as rig:
+            reader, writer = await rig.connect()
+            data = long_request()
+            head = data.index(b"\r\n\r\n") + 4
+            writer.write(b"GET /ready HTTP/1.1\r\n\r\n" + data[:head])
+            assert (await read_message(reader, writer)).line.split()[1] == "200"
+            writer.write(data[head:])
+            assert (await read_message(reader, writer)).body == b"served"
+            writer.close()
+            await until_released(rig, "a long request behind a readiness check")
+
+    run_on_loop(scenario, LIMIT_S)
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -703,8 +703,8 @@
                 self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _answer_and_close(self, status: int) -> None:
-        """Answer a readiness check or an invalid request and close, to free the connection for others."""
-        self._is_closing = True
+        """Answer a readiness check or an invalid request; close if nothing follows it, to make room."""
+        self._is_closing = self._is_closing or (self._message is None and not self._pending_requests)
         self.answer(status, retry_after_ms=RETRY_AFTER_MS if status == 503 else 0.0)
 
     def _should_keep_alive(self) -> bool:
