--- a/plumwall/cli/play.py
+++ b/plumwall/cli/play.py
@@ -413,12 +413,19 @@
         print_json(outcome)
     else:
         _print_outcome(outcome)
+    failures = _failures(outcome)
+    if failures:
+        raise WorkFailedError("; ".join(failures))
+
+
+def _failures(outcome: RunOutcome) -> list[str]:
+    """What is wrong with a run. Rules that a void run broke are broken all the same: the records show it."""
+    failures = [f"void: {outcome.void}"] if outcome.void else []
     verdict = outcome.verdict
-    if outcome.void:
-        raise WorkFailedError(f"void: {outcome.void}")
     if verdict is not None and not verdict.kept:
         broken = ", ".join(f"{rule} {count}" for rule, count in verdict.breaches.items())
-        raise WorkFailedError(f"rules broken: {broken}")
+        failures.append(f"rules broken: {broken}")
+    return failures
 
 
 def _print_outcome(outcome: RunOutcome) -> None:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -15,9 +15,13 @@
 import pytest
 from conftest import LOOP, run_on_loop
 
+from plumwall.cli.console import WorkFailedError
+from plumwall.cli.play import report_outcome
 from plumwall.emulator.listening_socket import ListeningSocket, respond
+from plumwall.emulator.run import RunOutcome
 from plumwall.emulator.tally import Tally
 from plumwall.emulator.timing import call_not_before
+from plumwall.judge import Service, Verdict
 
 ROOT = Path(__file__).parent.parent
 SMALL_SCENARIO = """
@@ -125,6 +129,16 @@
     assert found["at_ms"] > 0 and found["gateway"] and (found["request"] or found["server"])
 
 
+# Guards against: a void run, such as one on a busy machine, did not tell the rules that it broke.
+def test_run_that_is_void_tells_the_broken_rules_too(capsys: pytest.CaptureFixture[str]) -> None:
+    service = Service(1.0, 1.0, 0.0, 1.0, {}, {}, {}, {}, 1.0)
+    verdict = Verdict(False, [], {"cold": 2}, service, {})
+    outcome = RunOutcome(verdict, [], "the load tool was late", 23.6, 1, 1.0, 1, 1, {}, {}, {}, "run")
+    with pytest.raises(WorkFailedError, match="void: the load tool was late; rules broken: cold 2"):
+        report_outcome(outcome, json_=True)
+    assert json.loads(capsys.readouterr().out)["void"] == "the load tool was late"
+
+
 def test_repeated_kills_of_gateways_and_servers_leave_no_process(tmp_path: Path) -> None:
     faults = "".join(
         f"""
