Count a long request's time from its last byte at this machine, whatever its server takes

Cause: for a streamed body the deadline guard and the attempt's time-out began when its last byte had been written to the server's connection (Core.on_sent, AttemptRunner.on_sent). A server that takes nothing suspended both, and what ended the request was the limit on connections without progress: 5 s, looked at once a second. A second cause beside it: while the client is held back its last byte may lie in this machine's socket, and its time began only when it was read.

Four tests of test_body_deadlines fail: answers 4.0 and 6.0 s after the last byte with 1 s to wait from a server that reads nothing, 1.7 s from one that reads slowly.

Change: Upload.arrived_at_s says when the last byte arrived, and all limits run from it: the deadline guard, the attempt's time-out, the time told to a server. It is set when the body has been read to its end, by the same measure as for short requests, and, while reading is paused, when as many bytes lie unread as are missing. Of a chunked body any unread bytes may hold the end, which is corrected if it goes on. Only a body that has not arrived suspends the limits. An attempt whose body is not written whole has run nowhere, so it ends with its request also where cancelling is forbidden; else its connection would be held for good. The limit for a client that stops within its body is no longer suspended while reading is paused, unless bytes of it lie unread.

--- a/tests/test_released_memory.py
+++ b/tests/test_released_memory.py
@@ -118,7 +118,9 @@
     async def scenario() -> None:
         async def never_reads(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             reader._transport.pause_reading()
-            await asyncio.Event().wait()
+            await asyncio.sleep(
+                LIMIT_S
+            )  # an event that nothing refers to would be collected, and the connection closed
 
         async with ScriptedServerRig(tmp_path, never_reads) as rig:
             client = connect(rig)
--- a/yewstage/net/attempts.py
+++ b/yewstage/net/attempts.py
@@ -84,6 +84,7 @@
         "arrived_at",
         "written_at",
         "local_port",
+        "begun_at",
         "ends_by",
         "body",
     )
@@ -104,9 +105,8 @@
         self.payload, self.body, self.sent_at, self.upload = payload, body, sent_at, upload
         self.timeout_s = 0.0
         self.start_by = math.inf  # time after which the attempt is not written any more
-        self.ends_by = (
-            math.inf
-        )  # when its time-out ends it; that of a streamed body starts with its last byte
+        self.begun_at = sent_at  # when it was passed to the runner
+        self.ends_by = math.inf  # when its time-out ends it
         self.head_received_at: float | None = None  # when the head of the answer was complete
         self.attempt_runner: AttemptRunner | None = None
         self.link: Link | None = None
@@ -154,6 +154,17 @@
         """Called by the pool with a link for this attempt."""
         self.attempt_runner.on_link(self, link)
 
+    def time_out_runs_from(self) -> float | None:
+        """When its time-out began to run; None while the last byte of its body has not arrived here."""
+        if self.upload is None:
+            return self.begun_at
+        arrived_at = self.upload.arrived_at_s
+        return None if arrived_at is None else max(arrived_at, self.begun_at)
+
+    def is_sending_body(self) -> bool:
+        """Whether a part of its streamed body is not written yet, so that the request cannot have run."""
+        return self.upload is not None and self.link is not None and self.link.has_unsent_data
+
     def complete_head(self, time_left_s: float) -> None:
         """Add X-Deadline (`time_left_s`, at least 1 ms) and the body."""
         if self.body is not None:
@@ -191,11 +202,9 @@
     def send(self, attempt: Attempt, timeout_s: float, start_within_s: float = math.inf) -> None:
         """Send an attempt over an idle link, or the first one connected or released in `start_within_s`."""
         attempt.attempt_runner, attempt.timeout_s, attempt.is_waiting = self, timeout_s, True
-        now = self._clock_s()
-        attempt.start_by = now + start_within_s
-        if attempt.upload is None:
-            attempt.ends_by = now + timeout_s
-            attempt.timer = self.loop.call_later(timeout_s, self._on_timeout, attempt)
+        attempt.begun_at = self._clock_s()
+        attempt.start_by = attempt.begun_at + start_within_s
+        self.restart_timeout(attempt)
         self.pool.acquire(attempt.server, attempt)
         if attempt.is_waiting:
             wait_s = min(self.pool.max_wait_s(), timeout_s) + 2 * READ_GRACE_S  # a dial ends before this
@@ -203,6 +212,18 @@
                 min(wait_s, start_within_s), self._on_wait_timeout, attempt
             )
 
+    def restart_timeout(self, attempt: Attempt) -> None:
+        """Run the time-out of an attempt from the time from which it counts; it waits while there is none."""
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        runs_from = attempt.time_out_runs_from()
+        if runs_from is None or attempt.is_done or attempt.is_streaming:
+            attempt.ends_by = math.inf
+            return
+        attempt.ends_by = runs_from + attempt.timeout_s
+        left_s = max(attempt.ends_by - self._clock_s(), 0.0)
+        attempt.timer = self.loop.call_later(left_s, self._on_timeout, attempt)
+
     def metrics(self) -> dict[str, float]:
         """Attempts that were not written though they had a link, by reason."""
         return {
@@ -294,10 +315,9 @@
     # --- Events of links ----------------------------------------------------------------------------------
 
     def on_sent(self, attempt: Attempt) -> None:
-        """Called when the last byte of an attempt was written; the time of a streamed body starts here."""
+        """Called when the last byte of an attempt was written. The server's latency is measured from here."""
         if attempt.upload is not None and not attempt.is_streaming:
             attempt.sent_at = time.monotonic()
-            attempt.timer = self.loop.call_later(attempt.timeout_s, self._on_timeout, attempt)
         self._owner.on_sent(attempt)
 
     def on_stream_started(
@@ -307,7 +327,7 @@
         stream = self._owner.on_stream_started(attempt, reply, length, link)
         if stream is not None:
             attempt.is_streaming = True
-            if attempt.timer is not None:  # None while the body is still being sent
+            if attempt.timer is not None:  # None while the body is still being received
                 attempt.timer.cancel()
         return stream
 
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -18,6 +18,7 @@
 
 from yewstage import interface as api
 from yewstage.log import Event
+from yewstage.net.budget import READ_BYTES
 from yewstage.net.core import ClientRequest, Core
 from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES, limit_socket_buffer
 from yewstage.net.loop_monitor import STALL_THRESHOLD_S, ReadGap
@@ -314,25 +315,68 @@
             self._read_arrived_at_s = loop_arrival_s = now - self._core.loop_monitor.read_delay_s(now)
             if self._read_gap.is_open():
                 self._read_arrived_at_s = self._read_gap.earliest_arrival_s(now)
-                self._read_gap.end()
+                if len(data) < READ_BYTES:  # it left nothing unread
+                    self._read_gap.end()
+            message = self._message
             self._feed_parser(data)
             if loop_arrival_s - self._read_arrived_at_s > STALL_THRESHOLD_S:
-                self._refine_arrival(now, loop_arrival_s)
+                self._refine_arrival(message, now, loop_arrival_s)
+            if len(data) < READ_BYTES:
+                self._withdraw_arrival()
             self._process_queue()
             self._request_account.set(self._buffered_request_bytes())
 
-    def _refine_arrival(self, now: float, loop_arrival_s: float) -> None:
+    def _refine_arrival(self, continued: _RequestMessage | None, now: float, loop_arrival_s: float) -> None:
         """Ask the system when the last byte of a request arrived that may have come while nothing was read.
 
-        It knows of the last bytes only, so this applies where they were the end of one request. The delay of
-        the event loop stays a bound.
+        It knows of the last bytes only, so this applies where they were the end of one request: the only one
+        in the queue, or the `continued` one, whose body ended with them. The delay of the event loop stays a
+        bound.
         """
-        if len(self._pending_requests) != 1 or self._message is not None or self._is_answer_due:
+        if self._message is not None:
+            return
+        if not self._pending_requests and continued is not None and continued is self._current_request:
+            request = continued
+        elif len(self._pending_requests) == 1 and not self._is_answer_due:
+            request = self._pending_requests[0]
+        else:
             return
-        request = self._pending_requests[0]
         since_s = seconds_since_last_data(self.transport.get_extra_info("socket"))
         if since_s is not None and isinstance(request, _RequestMessage):
             request.arrived_at_s = max(request.arrived_at_s, min(loop_arrival_s, now - since_s))
+            if request.upload is not None:
+                self._set_body_arrival(request, request.arrived_at_s)
+
+    def _set_body_arrival(self, message: _RequestMessage, arrived_at_s: float | None) -> None:
+        """Note when the last byte of a streamed body arrived; None if it turns out that it has not."""
+        message.upload.arrived_at_s = arrived_at_s
+        if message is self._current_request and self._open_request_id is not None:
+            self._core.body_arrived(self._open_request_id)
+
+    def _note_unread_end(self) -> None:
+        """Start the time of a streamed body whose last byte lies in the socket while reading is paused.
+
+        The length of a chunked body is unknown, so any unread bytes may hold its end. If it goes on after
+        them, `_withdraw_arrival` corrects this.
+        """
+        message = self._message
+        if message is None or message.upload is None or message.upload.arrived_at_s is not None:
+            return
+        unread_bytes = self._unread_bytes()
+        missing_bytes = 1 if message.content_length is None else message.content_length - message.body_bytes
+        if unread_bytes < missing_bytes:
+            return
+        now = time.monotonic()
+        since_s = seconds_since_last_data(self.transport.get_extra_info("socket")) or 0.0
+        self._set_body_arrival(message, now - since_s)
+
+    def _withdraw_arrival(self) -> None:
+        """Correct the arrival of a chunked body that has turned out to go on."""
+        message = self._message
+        if message is None or message.upload is None or message.content_length is not None:
+            return
+        if message.upload.arrived_at_s is not None:
+            self._set_body_arrival(message, None)
 
     def _buffered_request_bytes(self) -> int:
         """Bytes of requests in memory: being received, queued, or awaiting their answer."""
@@ -606,6 +650,7 @@
         message.is_complete = True
         message.arrived_at_s = self._read_arrived_at_s
         if message.upload is not None:
+            self._set_body_arrival(message, max(message.arrived_at_s, message.upload.arrived_at_s or 0.0))
             message.upload.finish()
             if message is self._current_request and not self._is_answer_due:
                 self._close_gracefully()  # it was answered before its body was complete
@@ -847,18 +892,18 @@
     def check_timeouts(self, now: float) -> None:
         """Enforce the time limits for idling, for sending a request and for reading an answer."""
         message = self._message
-        if self._read_paused_at_s is not None and self.has_disconnected():
-            return  # reading goes on, up to the end of the connection
+        if self._read_paused_at_s is not None:
+            if self.has_disconnected():
+                return  # reading goes on, up to the end of the connection
+            self._note_unread_end()
         if self._write_blocked_at_s is not None and now - self._write_blocked_at_s > ANSWER_READ_TIMEOUT_S:
             self.transport.abort()  # otherwise clients that do not read would hold descriptors
         elif self._is_closing:
             if not self._is_answer_due and now - self.phase_started_at_s > IDLE_TIMEOUT_S:
                 self.transport.abort()
         elif message is not None:
-            if (
-                self._read_paused_at_s is None
-                and now > self._read_deadline_s(message)
-                and (not self._is_answer_due or message is self._current_request)
+            if now > self._read_deadline_s(message) and (
+                not self._is_answer_due or message is self._current_request
             ):
                 self._handle_read_timeout(message)
         elif (
@@ -877,7 +922,7 @@
 
     def _handle_read_timeout(self, message: _RequestMessage) -> None:
         if self.has_unread_bytes():
-            return  # the delay is in this process
+            return  # the delay is in this process, or it holds the client back
         if message.head_complete_at_s:
             self._fail_message(408)
         else:
@@ -901,11 +946,15 @@
 
     def has_unread_bytes(self) -> bool:
         """Whether the socket holds unread bytes; closing it now would reset the connection."""
+        return self._unread_bytes() > 0
+
+    def _unread_bytes(self) -> int:
+        """Bytes that lie in the socket; 0 if it is being closed."""
         if self.transport.is_closing():
-            return False  # the descriptor may be closed
+            return 0  # the descriptor may be closed
         count = array.array("i", [0])
         fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.FIONREAD, count)
-        return count[0] > 0
+        return count[0]
 
     def close_if_idle(self) -> None:
         """Close unless the connection carries a request, has unread bytes, or is closing already."""
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -145,6 +145,11 @@
         self.is_received = False  # the last byte has arrived, so the request counts as open
         self.streaming_attempt: Attempt | None = None  # whose answer is being streamed to the client
 
+    def arrived_at(self) -> float | None:
+        """When its last byte arrived, by the monotonic clock; None while it has not."""
+        upload = self.client_request.upload
+        return self.received_at if upload is None else upload.arrived_at_s
+
 
 class Core:
     """Feeds socket events to the decision module and carries out its actions."""
@@ -354,12 +359,16 @@
     def request(self, client: Client, client_request: ClientRequest, arrived_at: float | None = None) -> str:
         """Accept a request. Returns its id, which `client_disconnected` expects.
 
-        `arrived_at` is when its last byte arrived (of a streamed body, its head), in seconds of the monotonic
-        clock: the client's time limit runs from then, not from when it was read. None means now.
+        `arrived_at` is when its last byte arrived, in seconds of the monotonic clock: the client's time limit
+        runs from then, not from when it was read. None means now. Of a streamed body that has not arrived
+        whole it is that of the head; `body_arrived` follows.
         """
         self._request_count += 1
         request_id = f"r{self._request_count}"
         now = time.monotonic()
+        upload = client_request.upload
+        if upload is not None and upload.arrived_at_s is not None:
+            arrived_at = upload.arrived_at_s
         arrived_at = now if arrived_at is None else arrived_at
         left_ms = client_request.time_left_ms - TRANSIT_MS - (now - arrived_at) * 1000
         request = _OpenRequest(
@@ -370,8 +379,7 @@
             retry_after_ms = self.settings.max_retry_after_ms * self.settings.retry_after
             self._answer(request, 503, retry_after_ms=retry_after_ms, why="ending")
             return request_id
-        if client_request.upload is None:
-            self._start_deadline(request, left_ms)
+        self._restart_deadline(request)
         self._post(
             api.Request(
                 request_id,
@@ -383,20 +391,40 @@
                 client_request.gateway_count,
                 client_request.first_gateway,
                 client_request.is_retry,
-                client_request.upload is None,
+                upload is None,
                 client_request.cls,
             )
         )
         return request_id
 
-    def _start_deadline(self, request: _OpenRequest, left_ms: float) -> None:
-        """The last byte of a request has arrived: its time limit runs from now."""
-        request.is_received = True
-        self._unanswered += 1
-        request.answer_by = time.monotonic() + (left_ms - GUARD_MARGIN_MS) / 1000
-        request.guard_timer = self._loop.call_later(
-            max(left_ms - GUARD_MARGIN_MS, 0.0) / 1000, self._on_deadline, request
-        )
+    def body_arrived(self, request_id: str) -> None:
+        """Called when it becomes known that the last byte of a streamed body has arrived, or that it has not.
+
+        `Upload.arrived_at_s` has the time. From then on all limits of the request run, whether or not its
+        server takes the body.
+        """
+        request = self._requests.get(request_id)
+        if request is None or request.client is None:
+            return
+        self._restart_deadline(request)
+        for attempt in request.attempts:
+            if attempt is not None:
+                self._attempt_runner.restart_timeout(attempt)
+
+    def _restart_deadline(self, request: _OpenRequest) -> None:
+        """Run the time limit of a request from when its last byte arrived; it waits while that has not."""
+        if request.guard_timer is not None:
+            request.guard_timer.cancel()
+        arrived_at = request.arrived_at()
+        self._unanswered += (arrived_at is not None) - request.is_received
+        request.is_received = arrived_at is not None
+        if arrived_at is None or request.streaming_attempt is not None:
+            request.answer_by = math.inf
+            return
+        limit_ms = request.client_request.time_left_ms - TRANSIT_MS - GUARD_MARGIN_MS
+        request.answer_by = arrived_at + limit_ms / 1000
+        left_s = max(request.answer_by - time.monotonic(), 0.0)
+        request.guard_timer = self._loop.call_later(left_s, self._on_deadline, request)
 
     def client_disconnected(self, request_id: str, why: str = "client left") -> None:
         """Called when the client of a request has disconnected; `why` is the reason in the log."""
@@ -461,9 +489,9 @@
         if request.guard_timer is not None:
             request.guard_timer.cancel()
         for attempt in request.attempts:
-            # An attempt that waits for a connection was not sent to any server, so it may be cancelled even
-            # where the settings forbid cancelling requests at servers.
-            if attempt is not None and attempt.is_waiting:
+            # An attempt that waits for a connection, or whose body is not written whole, runs nowhere. It may
+            # be cancelled even where the settings forbid cancelling requests at servers.
+            if attempt is not None and (attempt.is_waiting or attempt.is_sending_body()):
                 self._attempt_runner.cancel(attempt)
         self._remove_if_ended(request)
 
@@ -563,11 +591,8 @@
         """Called when the last byte of an attempt was written."""
         self.stats.relayed_attempts += 1
         request = self._requests[attempt.request]
-        if attempt.upload is not None and request.streaming_attempt is not None:
-            request.is_received = True  # the answer is being streamed already, so no deadline guard is needed
-            self._unanswered += 1
-        elif attempt.upload is not None and request.client is not None:
-            self._start_deadline(request, request.client_request.time_left_ms - TRANSIT_MS)
+        has_answer = request.client is None or request.streaming_attempt is not None
+        if attempt.upload is not None and not has_answer:
             self._post(api.Uploaded(request.id))
 
     def on_stream_started(
--- a/yewstage/net/upload.py
+++ b/yewstage/net/upload.py
@@ -36,6 +36,9 @@
         self._unsent_bytes = 0
         self._server_connection: ReplyProtocol | None = None
         self.is_complete = False  # received to its end
+        # When its last byte arrived at this machine, by the monotonic clock; it may still lie unread in the
+        # socket. None while it has not arrived.
+        self.arrived_at_s: float | None = None
         self.is_closed = False  # nothing is forwarded any more
         account.begin(self._pause_for_budget, evict)
 
