Limit how long a client may stop within its body, however much of it came before

What callers would see: a client that stopped in the middle of a long body and stayed was kept for as long as the part that came takes at 64 kB a second, 2.2 s and more on top: 4.4 s after 128 KiB.

Cause: the minimum rate was an average since the head, so a part that came fast bought time for a stop.

Change: MAX_BODY_SILENCE_S, 2.2 s as for a head, bounds the time since the last bytes read; the average stays.

--- a/tests/test_body_deadlines.py
+++ b/tests/test_body_deadlines.py
@@ -15,13 +15,19 @@
 import pytest
 from conftest import LOOP, FakeHttpServer, GatewayRig, message, read_message, reply, run_on_loop, silent
 from scripted_core import RecordingClient, a_request, core_with
-from test_bodies import CHUNKED, Script, ScriptedServerRig, body_of, in_chunks
+from test_bodies import CHUNKED, Script, ScriptedServerRig, body_of, echo_digest, in_chunks
 from test_released_memory import until_released
 from test_streams import FullTransport
 
 from yewstage import interface as api
 from yewstage.net import clients
-from yewstage.net.clients import ClientConnection, ClientListener
+from yewstage.net.clients import (
+    HEAD_TIMEOUT_S,
+    MAX_BODY_SILENCE_S,
+    SWEEP_INTERVAL_S,
+    ClientConnection,
+    ClientListener,
+)
 from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES
 from yewstage.net.upload import Upload
 
@@ -30,6 +36,7 @@
 RECEIVE_BUFFER_BYTES = 64 * 1024  # of the servers, so that they leave most of a body to the gateway
 # Between what a stuck server takes, and what the gateway takes beside it.
 BODY_SIZES = range(150_000, 700_000, 50_000)
+BAD_CLIENT_LIMIT_S = 3.0  # for clients that stop within a request and stay
 FAILED_STATUSES = (502, 503, 504)
 LIMIT_S = 40.0
 
@@ -160,6 +167,27 @@
     run_on_loop(scenario, LIMIT_S)
 
 
+# Guards against: a client that stopped within its body was kept for as long as the part that came was long.
+@pytest.mark.parametrize("script", [never_reads, reads_slowly, echo_digest])
+@pytest.mark.parametrize("size", [MAX_BUFFERED_BODY_BYTES, 4 * MAX_BUFFERED_BODY_BYTES])
+def test_a_client_that_stops_within_a_body_gets_its_error_in_time(
+    tmp_path: Path, script: Script, size: int
+) -> None:
+    async def scenario() -> None:
+        async with StuckServerRig(tmp_path, script) as rig:
+            reader, writer = await rig.connect()
+            data = long_request(size, "length", deadline_s=6.0)
+            writer.write(data[: len(data) // 2])
+            stopped_at = time.monotonic()
+            assert int((await read_message(reader, writer)).line.split()[1]) == 408
+            assert time.monotonic() - stopped_at < BAD_CLIENT_LIMIT_S
+            writer.close()
+
+    assert MAX_BODY_SILENCE_S + SWEEP_INTERVAL_S < BAD_CLIENT_LIMIT_S
+    assert HEAD_TIMEOUT_S + SWEEP_INTERVAL_S < BAD_CLIENT_LIMIT_S
+    run_on_loop(scenario, LIMIT_S)
+
+
 # Guards against: a request that is answered while its body waits for its server keeps a connection for good.
 def test_an_attempt_whose_body_is_not_written_ends_with_its_request(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario() -> None:
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -34,6 +34,7 @@
 HEAD_TIMEOUT_S = 2.2  # for a complete head; a connection's first one counts from its opening
 BODY_GRACE_S = 0.7  # how far a body may fall behind MIN_BODY_BYTES_PER_S
 MIN_BODY_BYTES_PER_S = 64_000.0
+MAX_BODY_SILENCE_S = 2.2  # between two parts of a body, however far it is ahead of that rate
 RETRY_AFTER_MS = 1000.0  # Retry-After of a request refused for want of memory, and of a readiness check
 BODY_DRAIN_TIMEOUT_S = 5.0  # for reading the rest of a body whose request is already answered
 ANSWER_READ_TIMEOUT_S = 30.0  # a client that reads nothing of its answer for longer is disconnected
@@ -914,11 +915,16 @@
             self.transport.abort()  # idle, or without a first head in time
 
     def _read_deadline_s(self, message: _RequestMessage) -> float:
-        """Return when the message times out: a fixed limit for its head, a minimum rate for its body."""
+        """Return when the message times out.
+
+        Its head has a fixed limit, its body a minimum rate, and a client that stops within it a limit of its
+        own: the part that came fast buys it no time.
+        """
         if not message.head_complete_at_s:
             return self.phase_started_at_s + HEAD_TIMEOUT_S
         deadline_s = max(self.phase_started_at_s + HEAD_TIMEOUT_S, message.head_complete_at_s + BODY_GRACE_S)
-        return deadline_s + message.body_bytes / MIN_BODY_BYTES_PER_S + message.paused_s
+        deadline_s += message.body_bytes / MIN_BODY_BYTES_PER_S + message.paused_s
+        return min(deadline_s, self.received_at_s + MAX_BODY_SILENCE_S)
 
     def _handle_read_timeout(self, message: _RequestMessage) -> None:
         if self.has_unread_bytes():
