Split the module of client connections: requests as received, connections, the listener

clients.py had grown to 1,150 lines with three jobs. client_request.py has a request while it is received, with its headers and framing, and its validation; client_listener.py accepts connections and applies their limits; clients.py keeps the connection. Moved as they were, with RequestMessage and framing_header no longer private and two methods in place of code of the connection. The benchmark finds the listener in revisions before and after.

--- a/benchmarks/scenes.py
+++ b/benchmarks/scenes.py
@@ -210,7 +210,7 @@
         loop = Loop(self._loop, answers)
         config = tree.config.parse(CONFIG)
         core = tree.core.Core(config, loop)
-        self.server = tree.clients.ClientListener(core, loop, config.sockets)
+        self.server = tree.listener.ClientListener(core, loop, config.sockets)
         self._clients = [Client(self, data, new_connections) for _ in range(CONCURRENT_REQUESTS)]
         self._unstarted = 0
         self._finished: asyncio.Future | None = None
--- a/benchmarks/trees.py
+++ b/benchmarks/trees.py
@@ -19,9 +19,12 @@
     "api": "interface",
     "policy": "policy",
     "clients": "net.clients",
+    "listener": "net.client_listener",
     "core": "net.core",
     "config": "net.config",
 }
+# Modules that were a part of another one in earlier revisions.
+FORMER_MODULES = {"net.client_listener": "net.clients"}
 
 
 def load(folder: Path) -> SimpleNamespace:
@@ -32,9 +35,7 @@
     _remove_imported_modules()
     sys.path.insert(0, str(folder))
     try:
-        tree = SimpleNamespace(
-            **{attribute: importlib.import_module(f"{PACKAGE}.{name}") for attribute, name in MODULES.items()}
-        )
+        tree = SimpleNamespace(**{attribute: _import(name) for attribute, name in MODULES.items()})
     finally:
         sys.path.remove(str(folder))
         _remove_imported_modules()
@@ -42,6 +43,16 @@
     return tree
 
 
+def _import(name: str) -> ModuleType:
+    """Import a module of the program, under the name that it has in that revision."""
+    try:
+        return importlib.import_module(f"{PACKAGE}.{name}")
+    except ModuleNotFoundError:
+        if name not in FORMER_MODULES:
+            raise
+        return importlib.import_module(f"{PACKAGE}.{FORMER_MODULES[name]}")
+
+
 def _remove_imported_modules() -> None:
     for name in [n for n in sys.modules if n == PACKAGE or n.startswith(f"{PACKAGE}.")]:
         del sys.modules[name]
--- a/plumwall/cli/check.py
+++ b/plumwall/cli/check.py
@@ -10,7 +10,7 @@
 from plumwall.cli.console import EXISTING_FILE, BadInputError, json_option, print_fields
 from yewstage.holding.config import HoldingConfig, holding_config
 from yewstage.interface import Plan
-from yewstage.net.clients import ClassAndPlanNames
+from yewstage.net.client_request import ClassAndPlanNames
 from yewstage.net.config import Config, ConfigError, load
 from yewstage.registry.config import CheckerConfig, checker, read, service
 from yewstage.registry.config import Config as RegistryConfig
--- a/tests/test_body_deadlines.py
+++ b/tests/test_body_deadlines.py
@@ -21,13 +21,8 @@
 
 from yewstage import interface as api
 from yewstage.net import clients
-from yewstage.net.clients import (
-    HEAD_TIMEOUT_S,
-    MAX_BODY_SILENCE_S,
-    SWEEP_INTERVAL_S,
-    ClientConnection,
-    ClientListener,
-)
+from yewstage.net.client_listener import SWEEP_INTERVAL_S, ClientListener
+from yewstage.net.clients import HEAD_TIMEOUT_S, MAX_BODY_SILENCE_S, ClientConnection
 from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES
 from yewstage.net.upload import Upload
 
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -31,6 +31,7 @@
 from virtual import VirtualLoop, VirtualServer
 
 from yewstage import interface as api
+from yewstage.net import client_listener
 from yewstage.net import clients as clients_module
 from yewstage.net import counter as counter_module
 from yewstage.net.attempts import Attempt, AttemptRunner
@@ -177,7 +178,7 @@
         core, script = await core_with(monkeypatch, fake_server)
         monkeypatch.setattr(clients_module, "SPARE_IDLE_TIMEOUT_S", 0.0)
         # Four descriptors leave room for two clients.
-        listener = clients_module.ClientListener(core, asyncio.get_running_loop(), 4)
+        listener = client_listener.ClientListener(core, asyncio.get_running_loop(), 4)
         address = listener.start((LOOP, 0))
         listener.accept()
         kept = []
@@ -199,7 +200,7 @@
         fake_server = FakeHttpServer(lambda seen: None)
         core, script = await core_with(monkeypatch, fake_server)
         # Twenty descriptors leave room for ten clients.
-        listener = clients_module.ClientListener(core, asyncio.get_running_loop(), 20)
+        listener = client_listener.ClientListener(core, asyncio.get_running_loop(), 20)
         address = listener.start((LOOP, 0))
         listener.accept()
         closes, kept = [], []
@@ -224,7 +225,7 @@
     async def scenario() -> None:
         fake_server = FakeHttpServer(lambda seen: None)
         core, script = await core_with(monkeypatch, fake_server)
-        listener = clients_module.ClientListener(core, asyncio.get_running_loop(), 200)
+        listener = client_listener.ClientListener(core, asyncio.get_running_loop(), 200)
         address = listener.start((LOOP, 0))
         listener.accept()
         with socket.socket() as client:
@@ -253,7 +254,7 @@
         fake_server = FakeHttpServer(lambda seen: None)
         core, script = await core_with(monkeypatch, fake_server)
         # Ten descriptors leave room for five clients.
-        listener = clients_module.ClientListener(core, asyncio.get_running_loop(), 10)
+        listener = client_listener.ClientListener(core, asyncio.get_running_loop(), 10)
         address = listener.start((LOOP, 0))
         listener.accept()
         opened = [await asyncio.open_connection(*address) for _ in range(4)]
--- a/tests/test_released_memory.py
+++ b/tests/test_released_memory.py
@@ -14,7 +14,8 @@
 from test_streams import FullTransport
 
 from yewstage import interface as api
-from yewstage.net.clients import ClientConnection, ClientListener
+from yewstage.net.client_listener import ClientListener
+from yewstage.net.clients import ClientConnection
 from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES
 
 # More than the process reads ahead of a request, and less than the socket buffers of a connection hold.
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -27,7 +27,8 @@
 )
 
 from yewstage import interface as api
-from yewstage.net import clients as clients_module
+from yewstage.net import client_listener
+from yewstage.net.client_request import ClassAndPlanNames
 from yewstage.net.config import ConfigError, load, reload
 from yewstage.net.stats import Stats
 
@@ -222,16 +223,16 @@
         loop = asyncio.get_running_loop()
         members = {"settings": settings(), "stats": Stats(()), "max_upload_bytes": 1, "loop_monitor": None}
         core = type("Core", (), members)
-        server = clients_module.ClientListener(core, loop, 100)
+        server = client_listener.ClientListener(core, loop, 100)
         timers = []
         server.loop = type(
             "Loop", (), {"call_later": lambda s, delay_s, *call: timers.append((delay_s, call))}
         )()
-        server.set_classes_and_plans(clients_module.ClassAndPlanNames(settings(classes=(SAFE,))))
+        server.set_classes_and_plans(ClassAndPlanNames(settings(classes=(SAFE,))))
         assert set(server.names.classes) == {b"read", b"put", b"pay"}
         ((delay_s, (call, *args)),) = timers
         call(*args)
-        assert delay_s == clients_module.CLASS_REMOVAL_DELAY_S and set(server.names.classes) == {b"read"}
+        assert delay_s == client_listener.CLASS_REMOVAL_DELAY_S and set(server.names.classes) == {b"read"}
 
     run_on_loop(scenario)
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -15,7 +15,8 @@
 from test_bodies import CHUNKED, ScriptedServerRig, body_of, echo_digest, in_chunks, resident_mb
 
 from yewstage import interface as api
-from yewstage.net.clients import ClientConnection, ClientListener
+from yewstage.net.client_listener import ClientListener
+from yewstage.net.clients import ClientConnection
 
 MB = 2**20
 BIG = bytes(range(256)) * 4096  # 1 MB
--- a/tests/test_time_left.py
+++ b/tests/test_time_left.py
@@ -13,7 +13,7 @@
 from test_departed_clients import accepted, connect, held_up
 
 from yewstage import interface as api
-from yewstage.net import clients
+from yewstage.net import client_listener, clients
 from yewstage.net.core import MODULE_MARGIN_MS, TRANSIT_MS
 from yewstage.net.socket_state import seconds_since_last_data
 
@@ -156,7 +156,7 @@
         core, script = await core_with(monkeypatch, FakeHttpServer(silent))
         monkeypatch.setattr(core.loop_monitor, "read_delay_s", lambda now: loop_delay_s)
         monkeypatch.setattr(clients, "seconds_since_last_data", lambda sock: system_tells_s)
-        listener = clients.ClientListener(core, asyncio.get_running_loop(), 100)
+        listener = client_listener.ClientListener(core, asyncio.get_running_loop(), 100)
         started = time.monotonic()
         connection = clients.ClientConnection(listener, unread_since_s=started - 3.0)
         connection.connection_made(BacklogTransport())
--- a/yewstage/__main__.py
+++ b/yewstage/__main__.py
@@ -16,7 +16,8 @@
 import uvloop
 
 from yewstage.log import Event, JoinedList, address_event, configure_logging
-from yewstage.net.clients import ClassAndPlanNames, ClientListener
+from yewstage.net.client_listener import ClientListener
+from yewstage.net.client_request import ClassAndPlanNames
 from yewstage.net.config import Config, ConfigError, load, reload
 from yewstage.net.core import Core
 from yewstage.net.handover import Handover
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -4,32 +4,26 @@
 
 import array
 import asyncio
-import errno
 import fcntl
-import logging
-import re
 import socket
 import termios
 import time
-from collections import Counter, deque
-from functools import lru_cache
+from collections import deque
+from typing import TYPE_CHECKING
 
 import httptools
 
-from yewstage import interface as api
-from yewstage.log import Event
 from yewstage.net.budget import READ_BYTES
-from yewstage.net.core import ClientRequest, Core
+from yewstage.net.client_request import BadRequestError, RequestMessage, framing_header, parse_client_request
 from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES, limit_socket_buffer
 from yewstage.net.loop_monitor import STALL_THRESHOLD_S, ReadGap
 from yewstage.net.pool import Source
 from yewstage.net.socket_state import has_hung_up, seconds_since_last_data
 from yewstage.net.upload import Upload
 
-log = logging.getLogger(__name__)
+if TYPE_CHECKING:
+    from yewstage.net.client_listener import ClientListener
 
-BACKLOG_CONNECTIONS = 256
-CLIENT_DESCRIPTOR_SHARE = 0.5  # share of the descriptors that client connections may use
 MAX_HEAD_BYTES = 32 * 1024
 HEAD_TIMEOUT_S = 2.2  # for a complete head; a connection's first one counts from its opening
 BODY_GRACE_S = 0.7  # how far a body may fall behind MIN_BODY_BYTES_PER_S
@@ -42,12 +36,7 @@
 MAX_PIPELINED_BYTES = 64 * 1024  # queued before reading pauses; a client's end is seen only while reading
 SPARE_IDLE_TIMEOUT_S = 2.0  # a connection idle for longer is closed when a new client needs room
 SILENT_TIMEOUT_S = 0.5  # so is one without a request yet, once it has received nothing for so long
-CROWDED_SHARE = 0.7  # above this share of the maximum each connection is closed after its answer
 LINGER_TIMEOUT_S = 1.0  # for reading on after the last answer, unless the client closes first
-SWEEP_INTERVAL_S = 0.2
-CLASS_REMOVAL_DELAY_S = 1.2  # how long requests of a removed class are still accepted
-ACCEPT_RETRY_DELAY_S = 0.05
-FULL_LOG_INTERVAL_S = 5.0  # between two clients_full log events
 
 REASON_PHRASES = {
     200: b"OK",
@@ -61,169 +50,6 @@
     504: b"Gateway Timeout",
 }
 STATUS_LINES = {status: b"HTTP/1.1 %d %b\r\n" % (status, reason) for status, reason in REASON_PHRASES.items()}
-PARSED_HEADERS = frozenset(
-    (
-        b"x-request-id",
-        b"x-class",
-        b"plan",
-        b"x-deadline",
-        b"quota-info",
-        b"x-retry",
-        b"idempotency-key",
-        b"content-length",
-        b"content-type",
-        b"expect",
-        b"transfer-encoding",
-    )
-)
-TOKEN_PATTERN = re.compile(rb"[!-~]{1,128}")
-ABSOLUTE_FORM_PREFIX = re.compile(rb"(?i)^http://[^/?#]*(?=/)")  # of a request target in absolute-form
-CUSTOMER_PATTERN = re.compile(rb"[0-9a-fA-F]{16}")
-DEADLINE_PATTERN = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,6})?)([mu])")
-UNITS_PATTERN = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
-INTEGER_PATTERN = re.compile(r"[0-9]{1,6}")
-
-
-class BadRequestError(ValueError):
-    """A request violates the protocol and is answered 400; the message names the field."""
-
-
-class _RequestMessage:
-    """One request while it is parsed and until its answer is complete."""
-
-    __slots__ = (
-        "url",
-        "headers",
-        "body",
-        "body_bytes",
-        "method",
-        "keep_alive",
-        "has_duplicate_header",
-        "head_bytes",
-        "client_request",
-        "content_length",
-        "upload",
-        "head_complete_at_s",
-        "paused_s",
-        "is_complete",
-        "awaits_continue",
-        "http_version",
-        "arrived_at_s",
-    )
-
-    def __init__(self) -> None:
-        self.url = b""
-        self.headers: dict[bytes, bytes] = {}
-        self.body: list[bytes] = []
-        self.body_bytes = 0  # received so far
-        self.method = b""
-        self.http_version = "1.1"
-        self.keep_alive = True
-        self.head_bytes = 0  # sum of the lengths of header names and values
-        self.has_duplicate_header = False  # one of PARSED_HEADERS occurs more than once
-        self.content_length: int | None = 0  # None: chunked transfer coding
-        self.client_request: ClientRequest | None = None  # None: a readiness check
-        self.upload: Upload | None = None  # set for a body that is too long to buffer
-        self.head_complete_at_s = 0.0  # 0: the head is incomplete
-        self.paused_s = 0.0  # total time for which reading was paused during the body
-        self.is_complete = False
-        self.awaits_continue = False  # "Expect: 100-continue" is unanswered
-        # When its last byte (of an upload, its head) arrived at this machine; of the monotonic clock.
-        self.arrived_at_s = 0.0
-
-
-class ClassAndPlanNames:
-    """Classes and plans that a request may name, keyed by the bytes of the header value."""
-
-    def __init__(self, settings: api.Settings) -> None:
-        self.classes = {c.name.encode(): c for c in settings.classes}
-        self.plans = {p.name.encode(): p.name for p in settings.plans}
-
-
-def parse_client_request(message: _RequestMessage, names: ClassAndPlanNames) -> ClientRequest:
-    """Build the ClientRequest for a target below `/api/`; raises BadRequestError for an invalid one."""
-    headers = message.headers
-    if message.has_duplicate_header:
-        raise BadRequestError("duplicate header")
-    path, _, _ = message.url.partition(b"?")
-    customer = path.rpartition(b"/")[2]
-    if not CUSTOMER_PATTERN.fullmatch(customer) or int(customer, 16) >= 2**33:
-        raise BadRequestError("customer")
-    cls = names.classes.get(headers.get(b"x-class", b""))
-    plan = names.plans.get(headers.get(b"plan", b""))
-    if cls is None or plan is None:
-        raise BadRequestError("class or plan")
-    deadline = DEADLINE_PATTERN.fullmatch(headers.get(b"x-deadline", b""))
-    if deadline is None:
-        raise BadRequestError("X-Deadline")
-    time_left_ms = float(deadline[1]) / (1 if deadline[2] == b"m" else 1000)
-    units, gateway_count, first_gateway = _parse_quota_info(headers.get(b"quota-info", b""))
-    return ClientRequest(
-        headers.get(b"x-request-id", b"").decode("latin-1"),
-        cls,
-        plan,
-        customer.decode().lower(),
-        time_left_ms,
-        units,
-        gateway_count,
-        first_gateway,
-        headers.get(b"x-retry") == b"1",
-        _upstream_head(message, cls),
-        b"",
-        key=headers.get(b"idempotency-key", b""),
-    )
-
-
-def _framing_header(message: _RequestMessage) -> bytes:
-    """Return the header line that frames the body towards the server."""
-    if message.upload is not None and message.content_length is None:
-        return b"Transfer-Encoding: chunked\r\n"
-    if message.method == b"POST":
-        return b"Content-Length: %d\r\n" % (
-            message.body_bytes if message.upload is None else message.content_length
-        )
-    return b""
-
-
-@lru_cache(maxsize=1024)  # traffic repeats few distinct values
-def _parse_quota_info(value: bytes) -> tuple[float, int, int]:
-    """Parse `units=2,spread=3,first=1`; raises BadRequestError."""
-    fields = dict(part.strip().partition("=")[::2] for part in value.decode("latin-1").split(","))
-    units, spread, first = (fields.get(name, "") for name in ("units", "spread", "first"))
-    if not (
-        UNITS_PATTERN.fullmatch(units)
-        and INTEGER_PATTERN.fullmatch(spread)
-        and INTEGER_PATTERN.fullmatch(first)
-    ):
-        raise BadRequestError("Quota-Info")
-    if float(units) <= 0 or int(spread) < 1:
-        raise BadRequestError("Quota-Info")
-    return float(units), int(spread), int(first)
-
-
-def _upstream_head(message: _RequestMessage, cls: api.RequestClass) -> bytes:
-    """Build the head sent to the server, without the body's framing.
-
-    Method, target, request id and idempotency key are passed on unchanged. Raises BadRequestError.
-    """
-    headers, key = message.headers, message.headers.get(b"idempotency-key")
-    request_id = headers.get(b"x-request-id", b"")
-    if not TOKEN_PATTERN.fullmatch(request_id) or (key is not None and not TOKEN_PATTERN.fullmatch(key)):
-        raise BadRequestError("X-Request-Id or Idempotency-Key")
-    # A request that is not safe to repeat must not use GET, which intermediaries may repeat.
-    if message.method != (b"GET" if cls.effect == "safe" else b"POST"):
-        raise BadRequestError("method")
-    if (cls.effect == "keyed" and key is None) or (cls.effect == "safe" and message.content_length):
-        raise BadRequestError("Idempotency-Key or body")
-    lines = [
-        b"%b %b HTTP/1.1\r\nHost: upstream\r\nX-Request-Id: %b\r\n"
-        % (message.method, message.url, request_id)
-    ]
-    if key is not None:
-        lines.append(b"Idempotency-Key: %b\r\n" % key)
-    if b"content-type" in headers:
-        lines.append(b"Content-Type: %b\r\n" % headers[b"content-type"])
-    return b"".join(lines)
 
 
 class ClientConnection(asyncio.Protocol):
@@ -272,10 +98,10 @@
         self._descriptor = -1  # of the transport's socket; -1 until it is needed
         self.transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._message: _RequestMessage | None = None  # the one being received
+        self._message: RequestMessage | None = None  # the one being received
         # Requests to process; a number is the status with which an invalid request is answered.
-        self._pending_requests: deque[_RequestMessage | int] = deque()
-        self._current_request: _RequestMessage | None = None  # the last one whose processing began
+        self._pending_requests: deque[RequestMessage | int] = deque()
+        self._current_request: RequestMessage | None = None  # the last one whose processing began
         self._open_request_id: str | None = None  # id of the request that awaits its answer
         self._is_answer_due = False  # a request is being processed
         self._answer_source: Source | None = None  # server connection of a streamed answer
@@ -327,7 +153,7 @@
             self._process_queue()
             self._request_account.set(self._buffered_request_bytes())
 
-    def _refine_arrival(self, continued: _RequestMessage | None, now: float, loop_arrival_s: float) -> None:
+    def _refine_arrival(self, continued: RequestMessage | None, now: float, loop_arrival_s: float) -> None:
         """Ask the system when the last byte of a request arrived that may have come while nothing was read.
 
         It knows of the last bytes only, so this applies where they were the end of one request: the only one
@@ -343,12 +169,12 @@
         else:
             return
         since_s = seconds_since_last_data(self.transport.get_extra_info("socket"))
-        if since_s is not None and isinstance(request, _RequestMessage):
+        if since_s is not None and isinstance(request, RequestMessage):
             request.arrived_at_s = max(request.arrived_at_s, min(loop_arrival_s, now - since_s))
             if request.upload is not None:
                 self._set_body_arrival(request, request.arrived_at_s)
 
-    def _set_body_arrival(self, message: _RequestMessage, arrived_at_s: float | None) -> None:
+    def _set_body_arrival(self, message: RequestMessage, arrived_at_s: float | None) -> None:
         """Note when the last byte of a streamed body arrived; None if it turns out that it has not."""
         message.upload.arrived_at_s = arrived_at_s
         if message is self._current_request and self._open_request_id is not None:
@@ -385,7 +211,7 @@
         if self._message is None and not self._pending_requests:
             return size
         for item in (self._message, *self._pending_requests):
-            if isinstance(item, _RequestMessage):
+            if isinstance(item, RequestMessage):
                 size += item.head_bytes + (0 if item.upload is not None else item.body_bytes)
         return size
 
@@ -492,7 +318,7 @@
         dropped = list(self._pending_requests)
         self._pending_requests.clear()
         for item in dropped:
-            if isinstance(item, _RequestMessage) and item.upload is not None:
+            if isinstance(item, RequestMessage) and item.upload is not None:
                 item.upload.close()
         self._is_queue_full = False
         self._request_account.set(self._buffered_request_bytes())
@@ -519,7 +345,7 @@
     def on_message_begin(self) -> None:
         if self._is_replaying_head:
             return
-        self._message = _RequestMessage()
+        self._message = RequestMessage()
         if self.answered_count and not self._is_answer_due:
             self.phase_started_at_s = self._listener.now()
 
@@ -531,25 +357,17 @@
         message = self._message
         if self._is_replaying_head or self._is_closing:
             return
-        name = name.lower()
-        message.head_bytes += len(name) + len(value)
+        message.add_header(name.lower(), value)
         if message.head_bytes > MAX_HEAD_BYTES:
             self._fail_message(400)
-        elif name in PARSED_HEADERS and not message.head_complete_at_s:  # fields of a trailer are ignored
-            message.has_duplicate_header |= name in message.headers
-            message.headers[name] = value.strip(b" \t")  # optional white space (RFC 9112, 5.1)
 
     def on_headers_complete(self) -> None:
         message = self._message
         if self._is_replaying_head or self._is_closing:
             return
         message.head_complete_at_s = self._listener.now()
-        message.url = ABSOLUTE_FORM_PREFIX.sub(b"", message.url, 1)
-        message.method = self._parser.get_method()
-        message.http_version = self._parser.get_http_version()
+        message.set_request_line(self._parser.get_method(), self._parser.get_http_version())
         message.keep_alive = self._parser.should_keep_alive()
-        length = message.headers.get(b"content-length", b"0")
-        message.content_length = None if b"transfer-encoding" in message.headers else int(length)
         self._head_bytes = 0
         status = self._validate_head(message)
         if status:
@@ -560,7 +378,7 @@
             message.awaits_continue = message.headers.get(b"expect", b"").lower() == b"100-continue"
             self._send_continue()
 
-    def _validate_head(self, message: _RequestMessage) -> int:
+    def _validate_head(self, message: RequestMessage) -> int:
         """Return the status with which the head is rejected; 0 if the request is accepted."""
         path = message.url.partition(b"?")[0]
         if path == b"/ready" and message.method == b"GET" and message.content_length == 0:
@@ -579,7 +397,7 @@
             return self._count_refusal(message)
         return 0
 
-    def _count_refusal(self, message: _RequestMessage) -> int:
+    def _count_refusal(self, message: RequestMessage) -> int:
         """Count a refusal for want of memory, before any byte is sent to a server; returns the status."""
         self._core.budget.refused_count += 1
         self._core.stats.count_answer(message.client_request.cls.name, 503)
@@ -598,7 +416,7 @@
             message.awaits_continue = False
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def _start_upload(self, message: _RequestMessage) -> None:
+    def _start_upload(self, message: RequestMessage) -> None:
         """Queue the request before its body is complete; the body is streamed to the server."""
         if not self._core.budget.admits_stream():
             self._reject(self._count_refusal(message))
@@ -726,7 +544,7 @@
         """Whether the current request's body has been received to its end."""
         return self._current_request is None or self._current_request.is_complete
 
-    def _start_request(self, item: _RequestMessage | int) -> None:
+    def _start_request(self, item: RequestMessage | int) -> None:
         self._is_answer_due = True
         if isinstance(item, int):
             self._answer_and_close(item)
@@ -739,7 +557,7 @@
         client_request.upload = item.upload
         if item.upload is None:
             client_request.body, item.body = b"".join(item.body), []
-        client_request.head += _framing_header(item)
+        client_request.head += framing_header(item)
         self._open_request_bytes = len(client_request.head) + len(client_request.body)
         request_id = self._core.request(self, client_request, item.arrived_at_s)
         if self._is_answer_due:  # otherwise it has already been answered
@@ -877,7 +695,7 @@
         else:  # reads and discards the rest of its body: see `on_message_complete`
             self._listener.loop.call_later(BODY_DRAIN_TIMEOUT_S, self._abort_body_drain, message)
 
-    def _abort_body_drain(self, message: _RequestMessage) -> None:
+    def _abort_body_drain(self, message: RequestMessage) -> None:
         if self._message is message and not self.transport.is_closing():
             self._core.stats.count_truncated_stream("answered")
             self.transport.abort()
@@ -914,7 +732,7 @@
         ):
             self.transport.abort()  # idle, or without a first head in time
 
-    def _read_deadline_s(self, message: _RequestMessage) -> float:
+    def _read_deadline_s(self, message: RequestMessage) -> float:
         """Return when the message times out.
 
         Its head has a fixed limit, its body a minimum rate, and a client that stops within it a limit of its
@@ -926,7 +744,7 @@
         deadline_s += message.body_bytes / MIN_BODY_BYTES_PER_S + message.paused_s
         return min(deadline_s, self.received_at_s + MAX_BODY_SILENCE_S)
 
-    def _handle_read_timeout(self, message: _RequestMessage) -> None:
+    def _handle_read_timeout(self, message: RequestMessage) -> None:
         if self.has_unread_bytes():
             return  # the delay is in this process, or it holds the client back
         if message.head_complete_at_s:
@@ -966,209 +784,3 @@
         """Close unless the connection carries a request, has unread bytes, or is closing already."""
         if self.is_idle() and not self._is_closing and not self.has_unread_bytes():
             self.transport.close()
-
-
-class ClientListener:
-    """Accepts client connections up to a share of the descriptors and enforces their time limits.
-
-    `sockets` is the number of descriptors that the process may use for all purposes.
-    """
-
-    def __init__(self, core: Core, loop: asyncio.AbstractEventLoop, sockets: int) -> None:
-        self.core, self.loop = core, loop
-        self.names = ClassAndPlanNames(core.settings)
-        self.connections: set[ClientConnection] = set()
-        self.descriptor_use = core.stats.descriptors.uses["clients"]
-        self.max_upload_bytes = core.max_upload_bytes
-        self._socket_limit = sockets
-        self._listening_socket: socket.socket | None = None
-        self._is_open = self._is_accepting = False
-        self._accept_tasks: set[asyncio.Task] = set()
-        self._full_logged_at_s = -FULL_LOG_INTERVAL_S
-        self._accept_gap = ReadGap(core.loop_monitor)
-
-    def set_classes_and_plans(self, names: ClassAndPlanNames) -> None:
-        """Apply new classes and plans; removed classes stay valid for CLASS_REMOVAL_DELAY_S."""
-        merged = ClassAndPlanNames(api.Settings(()))
-        merged.classes = {**self.names.classes, **names.classes}
-        merged.plans = names.plans
-        self.names = merged
-        self.loop.call_later(CLASS_REMOVAL_DELAY_S, self._drop_old_classes, merged, names)
-
-    def set_limits(self, sockets: int, max_upload_bytes: int) -> None:
-        """Apply new limits; existing connections stay, also above a lower limit."""
-        self._socket_limit, self.max_upload_bytes = sockets, max_upload_bytes
-        self._resume_accepting()
-
-    def _drop_old_classes(self, merged: ClassAndPlanNames, names: ClassAndPlanNames) -> None:
-        if self.names is merged:  # otherwise newer settings have replaced them
-            self.names = names
-
-    def now(self) -> float:
-        """Return the event loop's time in seconds."""
-        return self.loop.time()
-
-    def start(self, address: tuple[str, int], fd: int | None = None) -> tuple[str, int]:
-        """Open the listening socket, or adopt the inherited descriptor `fd`; accepting begins with `accept`.
-
-        Returns the bound address, with the actual port where 0 was asked for.
-        """
-        if fd is not None:
-            self._listening_socket = socket.socket(fileno=fd)
-        else:
-            family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-            self._listening_socket = socket.socket(family, socket.SOCK_STREAM)
-            self._listening_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            self._listening_socket.bind(address)
-        self._listening_socket.setblocking(False)
-        if not self._listening_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
-            self._listening_socket.listen(BACKLOG_CONNECTIONS)
-        self._accept_gap.pause()
-        self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
-        return self._listening_socket.getsockname()[:2]
-
-    def accept(self) -> None:
-        """Begin to accept connections."""
-        self._is_open = True
-        self._resume_accepting()
-
-    def stop_accepting(self, succeeded: bool = False) -> None:
-        """Close the listening socket; with `succeeded`, its backlog is left to the next process.
-
-        Without a successor the backlog is accepted first. The socket is closed and never shut down, as other
-        processes may hold it too.
-        """
-        if self._is_accepting and not succeeded:
-            self._accept_waiting()
-        self._pause_accepting()
-        if self._listening_socket is not None:
-            self._listening_socket.close()
-            self._listening_socket = None
-
-    def close_idle(self) -> bool:
-        """Close all idle connections; returns whether no connection is left."""
-        for connection in list(self.connections):
-            connection.close_if_idle()
-        return not self.connections and not self._accept_tasks
-
-    def closed(self, connection: ClientConnection) -> None:
-        """Remove a lost connection and resume accepting."""
-        self.connections.discard(connection)
-        self.descriptor_use.closed()
-        self._resume_accepting()
-
-    def _resume_accepting(self) -> None:
-        if (
-            self._is_open
-            and self._listening_socket is not None
-            and not self._is_accepting
-            and self._has_room()
-        ):
-            self._is_accepting = True
-            self._accept_gap.resume()
-            self.loop.add_reader(self._listening_socket, self._accept_waiting)
-
-    def _pause_accepting(self) -> None:
-        if self._is_accepting:
-            self._is_accepting = False
-            self.loop.remove_reader(self._listening_socket)
-            self._accept_gap.pause()
-
-    def _max_connections(self) -> int:
-        return int(CLIENT_DESCRIPTOR_SHARE * self._socket_limit) // (
-            2 if self.core.is_sharing_descriptors else 1
-        )
-
-    def _has_room(self) -> bool:
-        return len(self.connections) + len(self._accept_tasks) < self._max_connections()
-
-    def is_crowded(self) -> bool:
-        """Whether connections are short, so that each is closed after its answer instead of kept."""
-        return len(self.connections) > CROWDED_SHARE * self._max_connections()
-
-    def _accept_waiting(self) -> None:
-        # Above the limit clients wait in the backlog, and a failed accept is retried after a delay: running
-        # out of descriptors must not end the listener.
-        while self._has_room():
-            try:
-                accepted, _ = self._listening_socket.accept()
-            except BlockingIOError:
-                self._accept_gap.end()
-                return
-            except (InterruptedError, ConnectionAbortedError):
-                return
-            except OSError as error:
-                log.warning(
-                    Event(
-                        "accept_failed",
-                        "accept failed: {error}",
-                        error=str(errno.errorcode.get(error.errno, error)),
-                    )
-                )
-                self._pause_accepting()
-                self.loop.call_later(ACCEPT_RETRY_DELAY_S, self._resume_accepting)
-                return
-            accepted.setblocking(False)
-            connection = ClientConnection(self, self._accept_gap.earliest_arrival_s(time.monotonic()))
-            task = self.loop.create_task(
-                self.loop.connect_accepted_socket(lambda connection=connection: connection, accepted)
-            )
-            self._accept_tasks.add(task)
-            task.add_done_callback(self._accept_done)
-        self._pause_accepting()
-        self._evict_connection()
-
-    def _evict_connection(self) -> None:
-        """Close one evictable connection; accepting resumes once it is lost.
-
-        Otherwise clients that leave their connections open and connect anew, or peers that send no request or
-        an incomplete one, would use up all connections. Connections that have been answered before go first,
-        then those without a request; within each group the one that has been silent for longest.
-        """
-        now = self.now()
-        evictable = min(
-            (c for c in self.connections if c.is_evictable(now)),
-            key=lambda c: (not c.answered_count, c.received_at_s),
-            default=None,
-        )
-        if evictable is not None:
-            evictable.transport.abort()
-        else:
-            self._log_full()
-
-    def _log_full(self) -> None:
-        """Log how many connections are in which state, at most once per FULL_LOG_INTERVAL_S."""
-        if self.now() - self._full_logged_at_s < FULL_LOG_INTERVAL_S:
-            return
-        self._full_logged_at_s = self.now()
-        states = Counter(connection.state() for connection in self.connections)
-        log.warning(
-            Event(
-                "clients_full",
-                "no room for more clients: {text}",
-                **states,
-                text=", ".join(f"{n} {state}" for state, n in states.items()),
-            )
-        )
-
-    def _accept_done(self, task: asyncio.Task) -> None:
-        # Until now the connection was counted twice, which may have paused accepting below the limit.
-        self._accept_tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log.warning(
-                Event(
-                    "client_gone",
-                    "client disconnected before its connection was set up: {error}",
-                    error=str(task.exception()),
-                )
-            )
-        self._resume_accepting()
-
-    def _sweep(self) -> None:
-        now = self.now()
-        for connection in list(self.connections):
-            connection.check_timeouts(now)
-        self.core.budget.check()
-        if not self._has_room():
-            self._evict_connection()
-        self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
