Release a streamed answer's first bytes at the server's side once the client's side has them

What callers would see: less room for long answers than there is. An answer without a length that is streamed after its 0.1 s of buffering was counted twice, up to 64 KiB, until its server sent more or was given up after 5 s.

Cause: the account of the server's connection was set only when data came.

Evidence: test_the_start_of_a_streamed_answer_is_held_only_until_its_client_has_it fails before (the bytes are counted until the answer has ended), passes after.

--- a/tests/test_released_memory.py
+++ b/tests/test_released_memory.py
@@ -180,3 +180,25 @@
             await until_released(rig, "a long request behind a readiness check")
 
     run_on_loop(scenario, LIMIT_S)
+
+
+# Guards against: the start of a streamed answer counted twice, as held for its server and for its client.
+def test_the_start_of_a_streamed_answer_is_held_only_until_its_client_has_it(tmp_path: Path) -> None:
+    start = b"x" * (MAX_BUFFERED_BODY_BYTES - 1)
+
+    async def begins_only(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + start)
+        await asyncio.sleep(LIMIT_S)
+
+    async def scenario() -> None:
+        async with ScriptedServerRig(tmp_path, begins_only) as rig:
+            reader, writer = await rig.connect()
+            writer.write(message())
+            await reader.readuntil(start)
+            while (metrics := await rig.metrics())['gateway_held_bytes{use="answers"}']:
+                await asyncio.sleep(0.02)
+            assert metrics["gateway_streams_open"] == 1  # the answer has not ended meanwhile
+            writer.close()
+
+    run_on_loop(scenario, LIMIT_S)
--- a/yewstage/net/pool.py
+++ b/yewstage/net/pool.py
@@ -674,6 +674,7 @@
             self.abort(ABANDONED)  # the client has disconnected
         elif body:
             self._stream.write_body(body)
+        self._memory_account.set(0)  # what was held here is the reader's now
 
     def pause(self, paused: bool) -> None:
         """Stop reading while the client's buffer is full, or resume."""
