Keep all limits of a connection whose reading is paused as it is closed

Cause: the question whether the client is there, new while reading is paused, ended the check of the limits also for a transport that is being closed.

Evidence: test_a_client_that_reads_nothing_is_disconnected_whether_or_not_its_connection_is_read fails before.

Change: the check goes on. The test's requests are more than may wait, in the earlier test of the file too.

--- a/tests/test_released_memory.py
+++ b/tests/test_released_memory.py
@@ -15,7 +15,7 @@
 
 from yewstage import interface as api
 from yewstage.net.client_listener import ClientListener
-from yewstage.net.clients import ClientConnection
+from yewstage.net.clients import ANSWER_READ_TIMEOUT_S, MAX_PIPELINED_BYTES, ClientConnection
 from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES
 
 # More than the process reads ahead of a request, and less than the socket buffers of a connection hold.
@@ -32,7 +32,7 @@
     return message("put", drop="Content-Length", more=CHUNKED, rid=b"long") + in_chunks(LONG_BODY, last=last)
 
 
-MANY_REQUESTS = b"".join(message(rid=b"many-%d" % i) for i in range(600))
+MANY_REQUESTS = b"".join(message(rid=b"many-%d" % i) for i in range(1000))
 SENT_AT_ONCE = {
     "a long request": long_request(),
     "a long request in chunks": long_chunked_request(),
@@ -202,3 +202,39 @@
             writer.close()
 
     run_on_loop(scenario, LIMIT_S)
+
+
+class ClosingTransport(FullTransport):
+    """A client's transport that is being closed and cannot write what it holds."""
+
+    def __init__(self, connection: ClientConnection) -> None:
+        super().__init__(connection)
+        self.is_aborted = False
+
+    def is_closing(self) -> bool:
+        return self.full
+
+    def abort(self) -> None:
+        self.is_aborted = True
+
+
+# Guards against: a connection closed while its reading is paused is kept for a client that never reads.
+def test_a_client_that_reads_nothing_is_disconnected_whether_or_not_its_connection_is_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        core, _ = await core_with(monkeypatch, FakeHttpServer(silent))
+        connection = ClientConnection(ClientListener(core, asyncio.get_running_loop(), 100))
+        transport = ClosingTransport(connection)
+        connection.connection_made(transport)
+        connection.data_received(MANY_REQUESTS)
+        assert connection._buffered_request_bytes() > MAX_PIPELINED_BYTES  # so reading is paused
+        transport.full = True
+        connection.pause_writing()
+        now = asyncio.get_running_loop().time()
+        connection.check_timeouts(now + ANSWER_READ_TIMEOUT_S / 2)
+        assert not transport.is_aborted
+        connection.check_timeouts(now + ANSWER_READ_TIMEOUT_S + 1)
+        assert transport.is_aborted
+
+    run_on_loop(scenario)
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -711,9 +711,7 @@
     def check_timeouts(self, now: float) -> None:
         """Enforce the time limits for idling, for sending a request and for reading an answer."""
         message = self._message
-        if self._read_paused_at_s is not None:
-            if self.has_disconnected():
-                return  # reading goes on, up to the end of the connection
+        if self._read_paused_at_s is not None and not self.has_disconnected():
             self._note_unread_end()
         if self._write_blocked_at_s is not None and now - self._write_blocked_at_s > ANSWER_READ_TIMEOUT_S:
             self.transport.abort()  # otherwise clients that do not read would hold descriptors
