--- a/tests/test_body_deadlines.py
+++ b/tests/test_body_deadlines.py
@@ -86,17 +86,20 @@
     return not left
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection. A close would wait behind the bytes for which the gateway has no room."""
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 async def answered_after_s(rig: GatewayRig, data: bytes) -> tuple[int, float] | None:
     """Status of the answer and seconds from the last byte to it; None if the last byte was not taken."""
     reader, writer = await rig.connect()
     writer.write(data)
     sent_at = time.monotonic()
     if not await taken(writer):
-        # A close would wait behind the bytes for which there is no room; a reset arrives at once.
-        writer.get_extra_info("socket").setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-        )
-        writer.transport.abort()
+        reset(writer)
         return None
     answer = await read_message(reader, writer)
     writer.close()
--- a/tests/test_released_memory.py
+++ b/tests/test_released_memory.py
@@ -48,11 +48,11 @@
 HELD_FOR_CLIENTS = ("gateway_streams_open", "gateway_open_requests", 'gateway_descriptors{use="clients"}')
 
 
-async def until_released(rig: GatewayRig, what: str = "") -> None:
+async def until_released(rig: GatewayRig, what: str, within_s: float = RELEASED_WITHIN_S) -> None:
     """Wait until no client connection is open and nothing is held for one."""
     held: dict[str, float] = {}
     try:
-        async with asyncio.timeout(RELEASED_WITHIN_S):
+        async with asyncio.timeout(within_s):
             while True:
                 metrics = await rig.metrics()
                 held = {
