--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -148,7 +148,7 @@
             self._feed_parser(data)
             if loop_arrival_s - self._read_arrived_at_s > STALL_THRESHOLD_S:
                 self._refine_arrival(message, now, loop_arrival_s)
-            if len(data) < READ_BYTES:
+            if self._open_uploads and len(data) < READ_BYTES:
                 self._withdraw_arrival()
             self._process_queue()
             self._request_account.set(self._buffered_request_bytes())
@@ -504,7 +504,9 @@
 
     def _update_reading(self) -> None:
         """Pause reading while the queue is full or an upload is held back, else resume it."""
-        should_pause = self._is_queue_full or any(upload.is_held_back for upload in self._open_uploads)
+        should_pause = self._is_queue_full
+        for upload in self._open_uploads:  # none but where a long request is in progress
+            should_pause = should_pause or upload.is_held_back
         if should_pause == (self._read_paused_at_s is not None) or self.transport.is_closing():
             return
         now = self._listener.now()
