--- a/tests/test_body_deadlines.py
+++ b/tests/test_body_deadlines.py
@@ -27,6 +27,7 @@
 from yewstage.net.upload import Upload
 
 DEADLINE_S = 1.0
+WAIT_S = 0.2  # how long a request waits behind another one
 ANSWER_SLACK_S = 0.5  # of the rule on lost requests: an answer after more than this is too late
 RECEIVE_BUFFER_BYTES = 64 * 1024  # of the servers, so that they leave most of a body to the gateway
 # Between what a stuck server takes, and what the gateway takes beside it.
@@ -125,6 +126,25 @@
 
 
 # Guards against: the time of a long request began only when an earlier one on its connection had ended.
+def test_the_time_of_a_long_request_runs_while_it_waits_behind_another_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        core, _ = await core_with(monkeypatch, FakeHttpServer(silent))
+        connection = ClientConnection(ClientListener(core, asyncio.get_running_loop(), 100))
+        connection.connection_made(FullTransport(connection))
+        connection.data_received(message(rid=b"short") + long_request(BODY_SIZES[0], "length"))
+        read_at = time.monotonic()
+        (first,) = core._requests.values()
+        await asyncio.sleep(WAIT_S)
+        core._answer(first, 503)
+        (second,) = core._requests.values()
+        assert second.arrived_at() <= read_at and second.answer_by <= read_at + DEADLINE_S
+        core.stop()
+
+    run_on_loop(scenario)
+
+
 def test_a_long_request_behind_another_one_is_answered_in_its_time(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with StuckServerRig(tmp_path, never_reads) as rig:
