--- a/tests/test_body_deadlines.py
+++ b/tests/test_body_deadlines.py
@@ -145,6 +145,7 @@
     run_on_loop(scenario)
 
 
+# Guards against: a long request behind another one on its connection is answered after its time.
 def test_a_long_request_behind_another_one_is_answered_in_its_time(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with StuckServerRig(tmp_path, never_reads) as rig:
