--- a/plumwall/cli/simulate.py
+++ b/plumwall/cli/simulate.py
@@ -7,7 +7,8 @@
 import click
 
 from plumwall.cli.console import BadInputError, show_progress
-from plumwall.cli.play import report_outcome, run_folder, with_overrides
+from plumwall.cli.outcome import report_outcome
+from plumwall.cli.play import run_folder, with_overrides
 from plumwall.cli.scenario import load_scenario
 from plumwall.simulate.run import NotSimulatedError, Simulation
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -16,7 +16,7 @@
 from conftest import LOOP, run_on_loop
 
 from plumwall.cli.console import WorkFailedError
-from plumwall.cli.play import report_outcome
+from plumwall.cli.outcome import report_outcome
 from plumwall.emulator.listening_socket import ListeningSocket, respond
 from plumwall.emulator.run import RunOutcome
 from plumwall.emulator.tally import Tally
