--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -26,6 +26,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"  # 0: the same without the disruption
 LIMIT_S = 110.0  # for a whole case
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+BACKLOG = 512
 SERVER_IDLE_S = 15.0  # a server closes a connection that was idle for so long (the settings' conn_idle_ms)
 
 
@@ -168,7 +169,9 @@
 
     def __init__(self, handle: Handle, idle_s: float = 3600.0) -> None:
         self._handle, self._idle_s = handle, idle_s
-        self._server: asyncio.Server | None = None
+        self._socket: socket.socket | None = None
+        self._accepting: asyncio.Task | None = None
+        self._fillers: list[socket.socket] = []  # keep the backlog full while it is cut off
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task] = set()
         self._connections = 0
@@ -180,26 +183,60 @@
         asyncio.get_running_loop().call_later(seconds, self.stop)
 
     async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0, backlog=512)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"{LOOPBACK}:{port}"
+        self._socket = socket.create_server((LOOPBACK, 0), backlog=BACKLOG)
+        self._socket.setblocking(False)
+        self.address = f"{LOOPBACK}:{self._socket.getsockname()[1]}"
+        self._accepting = asyncio.create_task(self._accept())
+
+    async def _accept(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            accepted, _ = await loop.sock_accept(self._socket)
+            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            reader = asyncio.StreamReader()
+            protocol = asyncio.StreamReaderProtocol(reader)
+            transport, _ = await loop.connect_accepted_socket(lambda protocol=protocol: protocol, accepted)
+            writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+            task = asyncio.create_task(self._serve(reader, writer))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
 
     def stop_listening(self) -> None:
         """New connections are refused; open ones go on."""
-        if self._server is not None:
-            self._server.close()
-            self._server = None
+        if self._socket is not None:
+            self._accepting.cancel()
+            self._socket.close()
+            self._socket = None
+
+    def cut_off(self) -> None:
+        """New connections never come up from now on. The open ones are the business of `handle`."""
+        self._accepting.cancel()
+        self._socket.listen(0)
+        host, port = self._socket.getsockname()
+        for _ in range(3):  # as many as a full backlog takes, and one that waits before it
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((host, port))
+            self._fillers.append(filler)
+
+    def join(self) -> None:
+        """End `cut_off`."""
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+        self._socket.listen(BACKLOG)
+        self._accepting = asyncio.create_task(self._accept())
 
     def stop(self) -> None:
         self.stop_listening()
+        for filler in self._fillers:
+            filler.close()
         for writer in list(self._writers):
             writer.transport.abort()
         for task in list(self._tasks):
             task.cancel()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.current_task()
-        self._tasks.add(task)
         self._writers.add(writer)
         self._connections += 1
         number = self._connections
@@ -219,7 +256,6 @@
         except (TimeoutError, asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
-            self._tasks.discard(task)
             self._writers.discard(writer)
             writer.close()
 
