Keep a connection until its answer is delivered, also for new clients

Cause: an exchange counted as ended when its last bytes were handed to the transport. From then on the connection counted as idle, so that 2 s later it was the first choice to be closed for a new client, and abort() drops what the transport still holds. The same cause: the linger time after a last answer and the 5 s for the rest of an answered body ended connections whose answer was still on its way; a byte of the client then resets it.

Until then the idle time, the linger time and the time for the rest of a body begin anew. A client that takes nothing for 10 s counts as idle again.

--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import array
 import asyncio
-import fcntl
 import socket
-import termios
 import time
 from collections import deque
 from typing import TYPE_CHECKING
@@ -18,7 +15,12 @@
 from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES, limit_socket_buffer
 from yewstage.net.loop_monitor import STALL_THRESHOLD_S, ReadGap
 from yewstage.net.pool import Source
-from yewstage.net.socket_state import has_hung_up, seconds_since_last_data
+from yewstage.net.socket_state import (
+    has_hung_up,
+    seconds_since_last_data,
+    undelivered_bytes,
+    unread_bytes,
+)
 from yewstage.net.upload import Upload
 
 if TYPE_CHECKING:
@@ -32,11 +34,12 @@
 RETRY_AFTER_MS = 1000.0  # Retry-After of a request refused for want of memory, and of a readiness check
 BODY_DRAIN_TIMEOUT_S = 5.0  # for reading the rest of a body whose request is already answered
 ANSWER_READ_TIMEOUT_S = 30.0  # a client that reads nothing of its answer for longer is disconnected
+DELIVERY_STALL_TIMEOUT_S = 10.0  # an answered client that takes nothing for longer counts as idle
 IDLE_TIMEOUT_S = 75.0  # for an idle connection while there is room for others
 MAX_PIPELINED_BYTES = 64 * 1024  # queued before reading pauses; a client's end is seen only while reading
 SPARE_IDLE_TIMEOUT_S = 2.0  # a connection idle for longer is closed when a new client needs room
 SILENT_TIMEOUT_S = 0.5  # so is one without a request yet, once it has received nothing for so long
-LINGER_TIMEOUT_S = 1.0  # for reading on after the last answer, unless the client closes first
+LINGER_TIMEOUT_S = 1.0  # for reading on after the last answer is delivered, unless the client closes first
 
 REASON_PHRASES = {
     200: b"OK",
@@ -78,6 +81,9 @@
         "_open_uploads",
         "_is_budget_paused",
         "_is_flushing",
+        "_is_delivering",
+        "_undelivered_bytes",
+        "_delivery_progressed_at_s",
         "_request_account",
         "_answer_account",
         "_open_request_bytes",
@@ -113,6 +119,9 @@
         self._open_uploads: tuple[Upload, ...] = ()  # closed with the connection at the latest
         # The memory budget pauses the streamed answer; a complete answer is not yet written in full.
         self._is_budget_paused = self._is_flushing = False
+        self._is_delivering = False  # the client's machine may lack a part of the last answer
+        self._undelivered_bytes = 0  # of that answer, as seen last
+        self._delivery_progressed_at_s = 0.0  # when their number changed last
         self._request_account = listener.core.budget.open_account("requests")
         self._answer_account = listener.core.budget.open_account("answers")
         self._open_request_bytes = 0  # head and body of the request being processed
@@ -298,13 +307,17 @@
         """
         if self.transport.is_closing():
             return True
-        if self._descriptor < 0:
-            self._descriptor = self.transport.get_extra_info("socket").fileno()
-        is_hung_up = has_hung_up(self._descriptor)
+        is_hung_up = has_hung_up(self._fileno())
         if is_hung_up:
             self._release_requests()
         return is_hung_up
 
+    def _fileno(self) -> int:
+        """Return the descriptor of the socket; the transport must not be closing."""
+        if self._descriptor < 0:
+            self._descriptor = self.transport.get_extra_info("socket").fileno()
+        return self._descriptor
+
     def _release_requests(self) -> None:
         """Drop the queued requests and what is held of bodies: nothing more is begun for this client."""
         self._is_closing = True
@@ -592,6 +605,8 @@
         )
         self._request_account.set(self._buffered_request_bytes())
         self.answered_count += 1
+        self._is_delivering = True
+        self._delivery_progressed_at_s = self._listener.now()
         self.phase_started_at_s = self._listener.now()
         if self._current_request is not None and self._current_request.upload is not None:
             self._current_request.upload.close()
@@ -693,14 +708,52 @@
             self._is_closing = True
             self._drop_queued_requests()
             self.transport.write_eof()
-            self._listener.loop.call_later(LINGER_TIMEOUT_S, self.transport.close)
+            self._linger()
         else:  # reads and discards the rest of its body: see `on_message_complete`
             self._listener.loop.call_later(BODY_DRAIN_TIMEOUT_S, self._abort_body_drain, message)
 
+    def _linger(self) -> None:
+        """Read on for a while after the last answer; until it is delivered, the time begins anew."""
+        self._listener.loop.call_later(LINGER_TIMEOUT_S, self._finish_linger)
+
+    def _finish_linger(self) -> None:
+        if self._is_still_delivering():
+            self._linger()
+        else:
+            self.transport.close()
+
     def _abort_body_drain(self, message: RequestMessage) -> None:
-        if self._message is message and not self.transport.is_closing():
-            self._core.stats.count_truncated_stream("answered")
-            self.transport.abort()
+        if self._message is not message or self.transport.is_closing():
+            return
+        if self._is_still_delivering():
+            self._listener.loop.call_later(LINGER_TIMEOUT_S, self._abort_body_drain, message)
+            return
+        self._core.stats.count_truncated_stream("answered")
+        self.transport.abort()
+
+    def _is_still_delivering(self) -> bool:
+        """Whether the last answer goes on to the client, and closing may wait for that."""
+        if self.transport.is_closing() or self._core.is_draining:
+            return False
+        return self._update_delivery()
+
+    def _update_delivery(self) -> bool:
+        """Whether the client's machine lacks a part of the last answer, which it goes on taking.
+
+        An exchange ends with the last byte of its answer at the client, so the time for which the connection
+        is idle counts from then.
+        """
+        if not self._is_delivering or self.transport.is_closing():
+            return False
+        undelivered = self.transport.get_write_buffer_size() + undelivered_bytes(self._fileno())
+        now = self._listener.now()
+        if undelivered != self._undelivered_bytes:
+            self._undelivered_bytes, self._delivery_progressed_at_s = undelivered, now
+        self._is_delivering = undelivered > 0
+        if not undelivered or now - self._delivery_progressed_at_s > DELIVERY_STALL_TIMEOUT_S:
+            return False
+        self.phase_started_at_s = now
+        return True
 
     def state(self) -> str:
         """Return the connection's state for the log."""
@@ -715,6 +768,7 @@
         message = self._message
         if self._read_paused_at_s is not None and not self.has_disconnected():
             self._note_unread_end()
+        self._update_delivery()
         if self._write_blocked_at_s is not None and now - self._write_blocked_at_s > ANSWER_READ_TIMEOUT_S:
             self.transport.abort()  # otherwise clients that do not read would hold descriptors
         elif self._is_closing:
@@ -759,7 +813,7 @@
 
     def is_evictable(self, now: float) -> bool:
         """Whether the connection may be closed for a new client: idle, or without a request for too long."""
-        if self._is_answer_due or self.transport.is_closing():
+        if self._is_answer_due or self.transport.is_closing() or self._update_delivery():
             return False
         is_unused = (
             now - self.phase_started_at_s >= SPARE_IDLE_TIMEOUT_S and self.is_idle()
@@ -776,9 +830,7 @@
         """Bytes that lie in the socket; 0 if it is being closed."""
         if self.transport.is_closing():
             return 0  # the descriptor may be closed
-        count = array.array("i", [0])
-        fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.FIONREAD, count)
-        return count[0]
+        return unread_bytes(self._fileno())
 
     def close_if_idle(self) -> None:
         """Close unless the connection carries a request, has unread bytes, or is closing already."""
--- a/yewstage/net/socket_state.py
+++ b/yewstage/net/socket_state.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import array
+import fcntl
 import os
 import select
 import socket
 import struct
+import termios
 
 # Linux's `struct tcp_info`, as `getsockopt(TCP_INFO)` returns it: its first byte is the state, and at this
 # offset are the milliseconds since the last segment with data arrived.
@@ -35,6 +38,22 @@
         return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != TCP_ESTABLISHED
 
 
+def unread_bytes(descriptor: int) -> int:
+    """Bytes that have arrived and are not read yet."""
+    return _queue_bytes(descriptor, termios.FIONREAD)
+
+
+def undelivered_bytes(descriptor: int) -> int:
+    """Bytes that were written and that the other machine has not acknowledged yet."""
+    return _queue_bytes(descriptor, termios.TIOCOUTQ)
+
+
+def _queue_bytes(descriptor: int, request: int) -> int:
+    count = array.array("i", [0])
+    fcntl.ioctl(descriptor, request, count)
+    return count[0]
+
+
 def seconds_since_last_data(sock: socket.socket) -> float | None:
     """Seconds since data arrived at this machine on the connection; None where the system does not tell."""
     try:
