Read streams in small parts, and count what the receiver takes as progress

Cause: a stream read up to 256 KB at once, whatever the budget had left, so some thirty readers held all of it. Progress of a stream was noted only when all of its bytes were written. At 64 kB/s, and with the system's own buffer in front, that is later than the 5 s after which a stream counts as stalled, so readers at the allowed rate were evicted, and nobody else got a turn meanwhile. Each piece of a chunked body was held by itself, too: pieces of one byte took ten times their size.

Change: connections read into a buffer whose size they choose (receive_buffer.py); a stream may read an equal part of half of the memory, an eighth of what is left, between 4 and 64 KiB. Progress of answers and bodies, and of the 5 s limit on links, is what the receiver's machine acknowledges. Parts that come with one read are passed on as one. A body is admitted while each stream has room for 32 KiB. Answers with over 256 header fields are given up.

--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -8,7 +8,17 @@
 import pytest
 
 from yewstage.net import budget as budget_module
-from yewstage.net.budget import READ_BYTES, STALL_TIMEOUT_S, TURN_TIMEOUT_S, MemoryAccount, MemoryBudget
+from yewstage.net.budget import (
+    ADMITTED_STREAM_BYTES,
+    ALL_STREAMS_SHARE,
+    MIN_READ_BYTES,
+    READ_BYTES,
+    READ_SHARE,
+    STALL_TIMEOUT_S,
+    TURN_TIMEOUT_S,
+    MemoryAccount,
+    MemoryBudget,
+)
 
 LIMIT_BYTES = 40 * READ_BYTES
 
@@ -56,6 +66,44 @@
     assert rig.budget.admits(1) and rig.budget.held_bytes_by_purpose()["requests"] == 0
 
 
+# Guards against: the first readers took the memory of all others, by reads of a fixed size.
+@pytest.mark.parametrize("count", [10, 100, 1000])
+def test_reads_get_smaller_so_that_each_stream_has_room(count: int) -> None:
+    rig = StreamBudget()
+    streams = [rig.open() for _ in range(count)]
+    high_bytes = rig.budget.high_bytes
+    share_bytes = int(ALL_STREAMS_SHARE * high_bytes / count)
+    for account in streams:
+        size = rig.budget.read_bytes()
+        left_bytes = int(READ_SHARE * (high_bytes - rig.budget.held))
+        assert size == min(READ_BYTES, max(MIN_READ_BYTES, min(share_bytes, left_bytes)))
+        rig.read(account, size)
+    assert rig.budget.is_under_pressure == (count * MIN_READ_BYTES > high_bytes)
+    assert rig.budget.held <= high_bytes + MIN_READ_BYTES
+
+
+def test_streams_are_admitted_while_an_equal_part_of_the_memory_is_enough() -> None:
+    rig = StreamBudget()
+    count = 0
+    while rig.budget.admits_stream():
+        rig.open()
+        count += 1
+    assert count == rig.budget.high_bytes // ADMITTED_STREAM_BYTES
+
+
+def test_a_stream_whose_receiver_takes_bytes_is_not_evicted() -> None:
+    rig = StreamBudget()
+    for account in [rig.open() for _ in range(40)]:
+        rig.read(account)
+    rig.open()
+    for _ in range(10):
+        rig.now += STALL_TIMEOUT_S / 2
+        for account in rig.paused:
+            account.note_progress()
+        rig.budget.check()
+    assert not rig.evicted
+
+
 @pytest.mark.parametrize("count", [10, 100, 1000])
 def test_held_bytes_do_not_grow_with_the_number_of_streams(count: int) -> None:
     rig = StreamBudget()
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -12,6 +12,7 @@
 from scripted_core import core_with
 
 from yewstage.net import clients as clients_module
+from yewstage.net.budget import STALL_TIMEOUT_S
 from yewstage.net.client_listener import ClientListener
 from yewstage.net.clients import ClientConnection
 from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES
@@ -23,6 +24,10 @@
 CROWD_S = 3 * clients_module.SPARE_IDLE_TIMEOUT_S
 CLIENT_BUFFER_BYTES = 64 * 1024  # with less, the system itself stops and restarts the sender for seconds
 READ_BYTES = 4096
+LONG_ANSWER_BYTES = 2_000_000
+SMALLEST_MEMORY_MB = 32
+SLOW_READING_S = STALL_TIMEOUT_S + 3.0  # so that a reader that looks stalled is evicted
+HELD_BACK_S = 2.0  # for which the rest of an answer may be held back
 LIMIT_S = 40.0
 
 
@@ -166,3 +171,60 @@
         fake_server.stop()
 
     run_on_loop(scenario)
+
+
+class SlowReader:
+    """A client that reads a long answer no faster than READ_BYTES every READ_INTERVAL_S."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self.received_bytes = 0
+        self.is_cut_off = False
+
+    async def run(self, until: float) -> None:
+        """Ask for an answer, and read it until the given time."""
+        client = await slow_client(self._port)
+        await asyncio.get_running_loop().sock_sendall(client, message())
+        with client:
+            while time.monotonic() < until and not self.is_cut_off:
+                part = await asyncio.get_running_loop().sock_recv(client, READ_BYTES)
+                self.received_bytes += len(part)
+                self.is_cut_off = not part
+                await asyncio.sleep(READ_INTERVAL_S)
+
+
+async def longest_wait_s(port: int, until: float) -> float:
+    """Read long answers at once until the given time; returns the longest wait for a part of one."""
+    longest_s = 0.0
+    while time.monotonic() < until:
+        reader, writer = await asyncio.open_connection(LOOP, port)
+        writer.write(message(rid=b"prompt"))
+        left = LONG_ANSWER_BYTES
+        while left > 0:
+            asked_at = time.monotonic()
+            part = await reader.read(2**16)
+            longest_s = max(longest_s, time.monotonic() - asked_at)
+            assert part, "cut off"
+            left -= len(part)
+        writer.close()
+        await asyncio.sleep(READ_INTERVAL_S)
+    return longest_s
+
+
+# Guards against: many readers at the slowest rate held the memory, were cut off, and held back all others.
+def test_many_slow_readers_are_served_and_hold_nobody_back(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        long_answer = reply(b"x" * LONG_ANSWER_BYTES)
+        async with GatewayRig(
+            tmp_path, lambda seen: long_answer, sockets=SOCKETS, memory_mb=SMALLEST_MEMORY_MB
+        ) as rig:
+            until = time.monotonic() + SLOW_READING_S
+            readers = [SlowReader(rig.port) for _ in range(SOCKETS // 4)]
+            prompt = [asyncio.create_task(longest_wait_s(rig.port, until)) for _ in range(3)]
+            await asyncio.gather(*[reader.run(until) for reader in readers])
+            assert not [reader.received_bytes for reader in readers if reader.is_cut_off]
+            assert max(await asyncio.gather(*prompt)) < HELD_BACK_S
+            metrics = await rig.metrics()
+            assert metrics["gateway_held_bytes_peak"] <= metrics["gateway_held_bytes_limit"]
+
+    run_on_loop(scenario, LIMIT_S)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -13,10 +13,12 @@
 from conftest import FakeHttpServer, GatewayRig, SeenMessage, message, read_message, reply, run_on_loop
 from scripted_core import core_with
 from test_bodies import CHUNKED, ScriptedServerRig, body_of, echo_digest, in_chunks, resident_mb
+from test_retune import raw_config
 
 from yewstage import interface as api
 from yewstage.net.client_listener import ClientListener
 from yewstage.net.clients import ClientConnection
+from yewstage.net.config import ConfigError, parse
 
 MB = 2**20
 BIG = bytes(range(256)) * 4096  # 1 MB
@@ -397,10 +399,6 @@
     "limits", [{"memory_mb": 0}, {"memory_mb": "many"}, {"upload_mb": -1}, {"upload_mb": True}]
 )
 def test_limits_out_of_range_are_configuration_errors(limits: dict) -> None:
-    from test_retune import raw_config
-
-    from yewstage.net.config import ConfigError, parse
-
     tree = raw_config()
     tree["limits"].update(limits)
     with pytest.raises(ConfigError, match=f"limits.{next(iter(limits))}"):
--- a/yewstage/net/budget.py
+++ b/yewstage/net/budget.py
@@ -4,9 +4,16 @@
 
 from collections.abc import Callable
 
+from yewstage.net.receive_buffer import READ_BYTES
+
 # High and low water mark for streams; memory above the high one is reserved for buffered requests.
 HIGH_SHARE, LOW_SHARE = 0.8, 0.5
-READ_BYTES = 256 * 1024  # upper bound of one read of a socket
+# One read of all streams together takes at most the first part of the memory below the high watermark, and
+# one read of a single stream the second part of what is left of it: later streams find room, too.
+ALL_STREAMS_SHARE = 1 / 2
+READ_SHARE = 1 / 8
+MIN_READ_BYTES = 4 * 1024  # whatever is left
+ADMITTED_STREAM_BYTES = 32 * 1024  # which an upload has to have below the high watermark to be admitted
 TURN_TIMEOUT_S = 0.5  # an unused turn passes to the next stream after that
 STALL_TIMEOUT_S = 5.0  # a stream without progress for longer may be evicted while others wait
 PURPOSES = ("requests", "answers", "uploads")
@@ -43,7 +50,7 @@
         self.bytes = 0
         self.has_turn = False  # it may make one read, for which memory is reserved
         self.is_paused = False
-        self.progressed_at_s = 0.0  # when it last released bytes, or began
+        self.progressed_at_s = 0.0  # when its receiver last took bytes, or it began
         self.pause_reading: Callable[[bool], None] | None = None  # set while it is a stream
         self.evict: Callable[[], None] | None = None
 
@@ -61,6 +68,10 @@
         if self.pause_reading is not None or budget.is_under_pressure or budget.held > budget.high_bytes:
             budget.account_changed(self, change_bytes)
 
+    def note_progress(self) -> None:
+        """Note that the receiver of the stream takes bytes, whether or not it has taken all that is held."""
+        self.progressed_at_s = self._budget.now_s()
+
     def begin(self, pause_reading: Callable[[bool], None], evict: Callable[[], None]) -> None:
         """Make this a stream: `pause_reading` pauses or resumes it, `evict` ends it if it stalls."""
         self.pause_reading, self.evict = pause_reading, evict
@@ -80,10 +91,11 @@
 class MemoryBudget:
     """Counts all held bytes and applies backpressure to streams.
 
-    Above the high watermark streams take turns of one read each, as far as the memory below the watermark
-    goes, so that the held bytes stay constant for any number of streams. Below the low watermark all resume.
-    A stream that holds bytes gets no turn before it has released them, so that a slow reader delays only
-    itself. If streams without progress hold all of the memory, the one stalled for longest is evicted.
+    Reads get smaller as the memory fills (`read_bytes`), so that many streams have room at once. Above the
+    high watermark streams take turns of one read each, as far as the memory below the watermark goes, so that
+    the held bytes stay constant for any number of streams. Below the low watermark all resume. A stream that
+    holds bytes gets no turn before it has released them, so that a slow reader delays only itself. If streams
+    without progress hold all of the memory, the one stalled for longest is evicted.
     """
 
     def __init__(self, limit_bytes: int, clock_s: Callable[[], float]) -> None:
@@ -113,13 +125,25 @@
         """Return the held bytes by purpose."""
         return {purpose: total.bytes for purpose, total in self._totals_by_purpose.items()}
 
+    def now_s(self) -> float:
+        """Return the time of the budget's clock in seconds."""
+        return self._clock_s()
+
+    def read_bytes(self) -> int:
+        """Return how many bytes a stream may read at once."""
+        share_bytes = int(ALL_STREAMS_SHARE * self.high_bytes / max(len(self._streams), 1))
+        left_bytes = int(READ_SHARE * (self.high_bytes - self.held))
+        return min(READ_BYTES, max(MIN_READ_BYTES, min(share_bytes, left_bytes)))
+
     def stream_count(self) -> int:
         """Return the number of open streams."""
         return len(self._streams)
 
     def admits_stream(self) -> bool:
-        """Whether another stream may begin."""
-        return not self.is_under_pressure and self.held + READ_BYTES <= self.high_bytes
+        """Whether another stream may begin: there is room for a read, and for an equal part of the memory."""
+        if self.is_under_pressure or self.held + READ_BYTES > self.high_bytes:
+            return False
+        return (len(self._streams) + 1) * ADMITTED_STREAM_BYTES <= self.high_bytes
 
     def admits(self, size: int) -> bool:
         """Whether a buffered request body of this size fits into the budget."""
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -10,11 +10,11 @@
 
 import httptools
 
-from yewstage.net.budget import READ_BYTES
 from yewstage.net.client_request import BadRequestError, RequestMessage, framing_header, parse_client_request
 from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES, limit_socket_buffer
 from yewstage.net.loop_monitor import STALL_THRESHOLD_S, ReadGap
 from yewstage.net.pool import Source
+from yewstage.net.receive_buffer import READ_BYTES, receive_buffer, received_bytes
 from yewstage.net.socket_state import (
     has_hung_up,
     seconds_since_last_data,
@@ -55,7 +55,7 @@
 STATUS_LINES = {status: b"HTTP/1.1 %d %b\r\n" % (status, reason) for status, reason in REASON_PHRASES.items()}
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """One client connection. Pipelined requests are processed one at a time, in order."""
 
     __slots__ = (
@@ -63,6 +63,7 @@
         "_core",
         "_read_gap",
         "_read_arrived_at_s",
+        "_max_read_bytes",
         "_descriptor",
         "transport",
         "_parser",
@@ -101,6 +102,7 @@
         self._listener, self._core = listener, listener.core
         self._read_gap = ReadGap(listener.core.loop_monitor, unread_since_s)
         self._read_arrived_at_s = 0.0  # the earliest that the latest bytes read may have arrived
+        self._max_read_bytes = READ_BYTES  # of the latest read
         self._descriptor = -1  # of the transport's socket; -1 until it is needed
         self.transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
@@ -119,7 +121,7 @@
         self._open_uploads: tuple[Upload, ...] = ()  # closed with the connection at the latest
         # The memory budget pauses the streamed answer; a complete answer is not yet written in full.
         self._is_budget_paused = self._is_flushing = False
-        self._is_delivering = False  # the client's machine may lack a part of the last answer
+        self._is_delivering = False  # the client's machine may lack a part of an answer
         self._undelivered_bytes = 0  # of that answer, as seen last
         self._delivery_progressed_at_s = 0.0  # when their number changed last
         self._request_account = listener.core.budget.open_account("requests")
@@ -134,7 +136,15 @@
         self.phase_started_at_s = 0.0
         self.received_at_s = 0.0  # when bytes were last received
 
-    # asyncio.Protocol
+    # asyncio.BufferedProtocol
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        # A long body may hold so much until its server takes it.
+        self._max_read_bytes = self._core.budget.read_bytes() if self._open_uploads else READ_BYTES
+        return receive_buffer(self._max_read_bytes)
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(received_bytes(nbytes))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
@@ -145,19 +155,21 @@
         self._listener.descriptor_use.opened()
 
     def data_received(self, data: bytes) -> None:
+        """Parse what was read, and begin the requests that it completes."""
         self.received_at_s = self._listener.now()
         if not self._is_closing:
             now = time.monotonic()
+            is_all_read = len(data) != self._max_read_bytes  # else the buffer was full
             self._read_arrived_at_s = loop_arrival_s = now - self._core.loop_monitor.read_delay_s(now)
             if self._read_gap.is_open():
                 self._read_arrived_at_s = self._read_gap.earliest_arrival_s(now)
-                if len(data) < READ_BYTES:  # it left nothing unread
+                if is_all_read:
                     self._read_gap.end()
             message = self._message
             self._feed_parser(data)
             if loop_arrival_s - self._read_arrived_at_s > STALL_THRESHOLD_S:
                 self._refine_arrival(message, now, loop_arrival_s)
-            if self._open_uploads and len(data) < READ_BYTES:
+            if self._open_uploads and is_all_read:
                 self._withdraw_arrival()
             self._process_queue()
             self._request_account.set(self._buffered_request_bytes())
@@ -652,6 +664,7 @@
             parts.append(b"Content-Type: %b\r\n" % content_type)
         parts.append(b"\r\n" if self._keeps_alive else b"Connection: close\r\n\r\n")
         limit_socket_buffer(self.transport, socket.SO_SNDBUF)
+        self._is_delivering = True
         self._answer_account.begin(self._pause_for_budget, self._evict)
         self._write(b"".join(parts))
         self._update_source_flow()
@@ -738,21 +751,23 @@
         return self._update_delivery()
 
     def _update_delivery(self) -> bool:
-        """Whether the client's machine lacks a part of the last answer, which it goes on taking.
+        """Whether the client's machine lacks a part of an answer, which it goes on taking.
 
         An exchange ends with the last byte of its answer at the client, so the time for which the connection
         is idle counts from then.
         """
         if not self._is_delivering or self.transport.is_closing():
             return False
-        undelivered = self.transport.get_write_buffer_size() + undelivered_bytes(self._fileno())
+        undelivered = undelivered_bytes(self.transport)
         now = self._listener.now()
         if undelivered != self._undelivered_bytes:
             self._undelivered_bytes, self._delivery_progressed_at_s = undelivered, now
-        self._is_delivering = undelivered > 0
+            self._answer_account.note_progress()
+        self._is_delivering = undelivered > 0 or self._answer_source is not None
         if not undelivered or now - self._delivery_progressed_at_s > DELIVERY_STALL_TIMEOUT_S:
             return False
-        self.phase_started_at_s = now
+        if self._message is None:
+            self.phase_started_at_s = now
         return True
 
     def state(self) -> str:
@@ -769,6 +784,8 @@
         if self._read_paused_at_s is not None and not self.has_disconnected():
             self._note_unread_end()
         self._update_delivery()
+        for upload in self._open_uploads:
+            upload.check_progress()
         if self._write_blocked_at_s is not None and now - self._write_blocked_at_s > ANSWER_READ_TIMEOUT_S:
             self.transport.abort()  # otherwise clients that do not read would hold descriptors
         elif self._is_closing:
--- a/yewstage/net/http1.py
+++ b/yewstage/net/http1.py
@@ -10,10 +10,12 @@
 
 import httptools
 
+from yewstage.net.receive_buffer import READ_BYTES, receive_buffer, received_bytes
 from yewstage.net.stats import DescriptorUse
 
 MAX_BUFFERED_BODY_BYTES = 64 * 1024  # bytes buffered whole; longer bodies are streamed
 SOCKET_BUFFER_BYTES = 128 * 1024  # kernel buffer of a socket that carries a streamed body, per direction
+MAX_HEADER_FIELDS = 256  # of one message, as each field takes memory beside its text
 MAX_LIST_BYTES = 4 * 1024 * 1024  # bytes of an answer with a list of servers
 CONNECT_GRACE_S = 0.002  # after the time-out, for a connection that is up but not yet seen by the event loop
 # Causes of a failed attempt to connect that have no error of the operating system.
@@ -103,7 +105,7 @@
             on_end(task.result()[1], "")
 
 
-class ReplyProtocol(asyncio.Protocol):
+class ReplyProtocol(asyncio.BufferedProtocol):
     """Parses answers; subclasses implement `replied` and `lost`.
 
     An answer that exceeds `max_body_bytes` and the allowance for its head aborts the connection.
@@ -120,7 +122,7 @@
 
     def _reset(self) -> None:
         self._headers: dict[bytes, bytes] = {}
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._size = 0
         self._in_body = self.has_begun = False
 
@@ -145,16 +147,27 @@
         if self.transport is not None:
             self.transport.abort()
 
-    # asyncio.Protocol
+    def max_read_bytes(self) -> int:
+        """Return how many bytes to read at once."""
+        return READ_BYTES
+
+    # asyncio.BufferedProtocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
         transport.set_write_buffer_limits(high=0)  # so that resume_writing means an empty buffer
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return receive_buffer(self.max_read_bytes())
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(received_bytes(nbytes))
+
     def resume_writing(self) -> None:
         self.has_unsent_data = False
 
     def data_received(self, data: bytes) -> None:
+        """Parse what was read."""
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -179,13 +192,16 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._headers[name.lower()] = value
+        if len(self._headers) > MAX_HEADER_FIELDS:
+            self.close_cause = "too many header fields"
+            self.abort()
         self._count_received_bytes(len(name) + len(value))
 
     def on_headers_complete(self) -> None:
         self._in_body = True
 
     def on_body(self, data: bytes) -> None:
-        self._body.append(data)
+        self._body += data
         self._count_received_bytes(len(data))
 
     def on_message_complete(self) -> None:
@@ -195,7 +211,7 @@
         self._complete(self._parser.should_keep_alive())
 
     def _complete(self, reusable: bool) -> None:
-        reply = Reply(self._parser.get_status_code(), self._headers, b"".join(self._body))
+        reply = Reply(self._parser.get_status_code(), self._headers, bytes(self._body))
         self._reset()
         self.replied(reply, reusable)
 
--- a/yewstage/net/pool.py
+++ b/yewstage/net/pool.py
@@ -26,6 +26,7 @@
     ReplyProtocol,
     limit_socket_buffer,
 )
+from yewstage.net.socket_state import undelivered_bytes
 from yewstage.net.stats import DescriptorUse
 from yewstage.net.upload import Upload
 
@@ -537,9 +538,10 @@
         self._memory_account = pool.budget.open_account("answers")  # of the answer that is being buffered
         self._pending_reply: tuple[Exchange, Reply, bool] | None = None
         self._stream: Stream | None = None  # reader of the answer, if it is streamed
+        self._unpassed: list[bytes] = []  # parts of the streamed body in the present read
         self._is_paused = False  # because the client reads slowly
         self._hold_timer: asyncio.TimerHandle | None = None
-        # Of a streamed body: reads and unwritten bytes, and when either changed last.
+        # Of a streamed body: reads and bytes that the server has not acknowledged, and when either changed.
         self._progress, self._progress_at = (0, 0), 0.0
         self._read_count = 0
         self.close_reason = ""  # why the gateway closed the link; empty if the server or the network did
@@ -582,12 +584,17 @@
         super().connection_made(transport)
         self._pool.on_opened(self)
 
+    def max_read_bytes(self) -> int:
+        return self._pool.budget.read_bytes()
+
     def data_received(self, data: bytes) -> None:
+        """Parse what was read, and pass it on at once if the answer is streamed."""
         if self.exchange is None:
             self.abort(NOT_REUSABLE)  # unsolicited data would be taken for the answer to the next request
             return
         self._read_count += 1
         super().data_received(data)
+        self._pass_on()
         if (
             self._in_body
             and self._hold_timer is None
@@ -618,6 +625,7 @@
 
     def replied(self, reply: Reply, reusable: bool) -> None:
         exchange, self.exchange = self.exchange, None
+        self._pass_on()
         self._stream = None
         self._cancel_hold()
         if exchange is None:
@@ -642,10 +650,16 @@
         ):
             self._begin_stream()
         if self._stream is not None:
-            self._stream.write_body(data)
+            self._unpassed.append(data)
         elif self._pending_reply is None:  # otherwise the result is known already
             super().on_body(data)
 
+    def _pass_on(self) -> None:
+        """Write the parts of the present read as one, as each by itself takes much more than its bytes."""
+        if self._unpassed:
+            data, self._unpassed = b"".join(self._unpassed), []
+            self._stream.write_body(data)
+
     def _body_length(self) -> int | None:
         length = self._headers.get(b"content-length")
         return int(length) if length is not None else None
@@ -665,7 +679,7 @@
         if status != 200:
             self._complete(reusable=False)
             return
-        body, self._body = b"".join(self._body), []
+        body, self._body = bytes(self._body), bytearray()
         limit_socket_buffer(self.transport, socket.SO_RCVBUF)
         self._pool.mark_streaming(self)
         reply = Reply(status, self._headers, b"")
@@ -695,8 +709,9 @@
         is_uploading = self.has_unsent_data and self.exchange is not None and self.exchange.upload is not None
         if self._is_paused or not (is_uploading or self._stream is not None):
             return
-        progress = (self._read_count, self.transport.get_write_buffer_size())
-        if progress != self._progress or (is_uploading and not progress[1]):
+        unwritten_bytes = self.transport.get_write_buffer_size()
+        progress = (self._read_count, undelivered_bytes(self.transport))
+        if progress != self._progress or (is_uploading and not unwritten_bytes):
             self._progress, self._progress_at = progress, now
         elif now - self._progress_at > STREAM_STALL_S:
             self.close_cause = "streamed body stalled"
--- a/yewstage/net/socket_state.py
+++ b/yewstage/net/socket_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import array
+import asyncio
 import fcntl
 import os
 import select
@@ -43,9 +44,13 @@
     return _queue_bytes(descriptor, termios.FIONREAD)
 
 
-def undelivered_bytes(descriptor: int) -> int:
-    """Bytes that were written and that the other machine has not acknowledged yet."""
-    return _queue_bytes(descriptor, termios.TIOCOUTQ)
+def undelivered_bytes(transport: asyncio.Transport) -> int:
+    """Bytes that were written to an open transport and that the other machine has not acknowledged yet."""
+    in_transport = transport.get_write_buffer_size()
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return in_transport
+    return in_transport + _queue_bytes(sock.fileno(), termios.TIOCOUTQ)
 
 
 def _queue_bytes(descriptor: int, request: int) -> int:
--- a/yewstage/net/upload.py
+++ b/yewstage/net/upload.py
@@ -7,6 +7,7 @@
 
 from yewstage.net.budget import MemoryAccount
 from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES, ReplyProtocol, limit_socket_buffer
+from yewstage.net.socket_state import undelivered_bytes
 
 LAST_CHUNK = b"0\r\n\r\n"
 
@@ -35,6 +36,7 @@
         self._unsent: list[bytes] = []  # until a server connection is attached
         self._unsent_bytes = 0
         self._server_connection: ReplyProtocol | None = None
+        self._unacknowledged_bytes = 0  # by the server's machine, as seen last
         self.is_complete = False  # received to its end
         # When its last byte arrived at this machine, by the monotonic clock; it may still lie unread in the
         # socket. None while it has not arrived.
@@ -81,6 +83,16 @@
         if not self.is_closed:
             self._set_held_bytes(0)
 
+    def check_progress(self) -> None:
+        """Note it if the server's machine has taken a part of what was written."""
+        server_connection = self._server_connection
+        if server_connection is None or server_connection.transport.is_closing():
+            return
+        unacknowledged = undelivered_bytes(server_connection.transport)
+        if unacknowledged != self._unacknowledged_bytes:
+            self._unacknowledged_bytes = unacknowledged
+            self._account.note_progress()
+
     def _pause_for_budget(self, is_paused: bool) -> None:
         self._is_budget_paused = is_paused
         self._on_flow_change()
