Begin no attempt for a client whose end may lie unread

Cause: the system tells of a client's end once it has arrived. While a body is held back there is no room for it: the end waits at the client's machine behind the rest of the body, and 'not hung up' was taken for 'there'. For a long body the client was asked for before the first byte only, though a server begins a request with the last one; what a transport or the system still held of it was sent after its client had gone.

Change: a client counts as there for 80 ms after its request arrived, or after all of its input was read; from then on more than 4 KiB of unread input may hide its end, and no attempt begins (client_unseen). The last part of a streamed body waits until those before it are written, and the client is asked for before it is written. An abandoned attempt with a long body resets its connection, so that the system sends no more of it.

--- a/tests/scripted_core.py
+++ b/tests/scripted_core.py
@@ -47,6 +47,9 @@
     def has_disconnected(self) -> bool:
         return self.has_left
 
+    def may_have_left_since(self, known_at_s: float) -> bool:
+        return False
+
     def answer(
         self, status: int, body: bytes = b"", content_type: bytes = b"", retry_after_ms: float = 0.0
     ) -> None:
--- /dev/null
+++ b/tests/test_hidden_ends.py
@@ -0,0 +1,120 @@
+"""A client closes with much still unread: its end lies behind bytes for which the gateway has no room."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from pathlib import Path
+
+import pytest
+from conftest import message, reply, run_on_loop
+from test_bodies import CHUNKED, ScriptedServerRig, in_chunks
+from test_body_deadlines import StuckServerRig
+from test_departed_clients import connect
+from test_released_memory import until_released
+
+from yewstage.net import clients as clients_module
+from yewstage.net.clients import PRESENCE_VALID_S
+
+BODY_BYTES = 1_000_000  # more than the gateway and the system's buffers before it take
+RESET_AFTER_S = 4 * PRESENCE_VALID_S
+SLOW_READ_BYTES, SLOW_READ_INTERVAL_S = 16 * 1024, 0.02
+LIMIT_S = 40.0
+
+
+def long_request(framing: str) -> bytes:
+    if framing == "length":
+        return message("put", body=b"x" * BODY_BYTES, rid=b"long")
+    return message("put", drop="Content-Length", more=CHUNKED, rid=b"long") + in_chunks(b"x" * BODY_BYTES)
+
+
+async def send_and_close(rig: ScriptedServerRig, data: bytes) -> None:
+    """Leave all of the data to the client's system, and close."""
+    with connect(rig) as client:
+        client.setblocking(False)
+        await asyncio.get_running_loop().sock_sendall(client, data)
+
+
+# Guards against: attempts began for clients that had closed behind a body that was held back (case 10).
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+def test_a_request_is_not_sent_again_for_a_client_that_closed_behind_a_held_back_body(
+    tmp_path: Path, framing: str
+) -> None:
+    async def scenario() -> None:
+        attempts = 0
+
+        async def reset_later(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal attempts
+            await reader.readuntil(b"\r\n\r\n")
+            attempts += 1
+            await asyncio.sleep(RESET_AFTER_S)
+            writer.transport.abort()
+
+        async with ScriptedServerRig(tmp_path, reset_later) as rig:
+            await send_and_close(rig, message(rid=b"short") + long_request(framing))
+            await until_released(rig, "a client that closed behind its body", within_s=LIMIT_S / 4)
+            assert attempts == 1
+            assert (await rig.metrics())['gateway_attempts_withheld_total{reason="client_unseen"}'] > 0
+
+    run_on_loop(scenario, LIMIT_S)
+
+
+# Guards against: a long request was completed at its server though its client had closed long before.
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+def test_a_long_request_is_not_completed_for_a_client_that_has_closed(tmp_path: Path, framing: str) -> None:
+    async def scenario() -> None:
+        sizes: list[int] = []
+
+        async def hangs_then_reads(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            sizes.append(0)
+            await asyncio.sleep(RESET_AFTER_S)
+            with contextlib.suppress(ConnectionError):
+                while part := await reader.read(SLOW_READ_BYTES):
+                    sizes[-1] += len(part)
+
+        async with StuckServerRig(tmp_path, hangs_then_reads) as rig:
+            await send_and_close(rig, long_request(framing))
+            await until_released(rig, "a client that closed behind its body", within_s=LIMIT_S / 2)
+            await asyncio.sleep(RESET_AFTER_S)
+            assert sizes and max(sizes) < BODY_BYTES
+
+    run_on_loop(scenario, LIMIT_S)
+
+
+# Guards against: clients that stay would be taken for ones that left, as their body fills all buffers.
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+def test_a_long_request_to_a_slow_server_is_served(tmp_path: Path, framing: str) -> None:
+    async def scenario() -> None:
+        async def reads_slowly(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            size = 0
+            while size < BODY_BYTES:
+                size += len(await reader.read(SLOW_READ_BYTES))
+                await asyncio.sleep(SLOW_READ_INTERVAL_S)
+            writer.write(reply(b"done"))
+
+        async with StuckServerRig(tmp_path, reads_slowly) as rig:
+            assert await rig.status(long_request(framing)) == 200
+
+    run_on_loop(scenario, LIMIT_S)
+
+
+@pytest.mark.parametrize(
+    ("unread_bytes", "known_s_ago", "may_have_left"),
+    [
+        (0, 1.0, False),
+        (clients_module.MAX_UNREAD_BEFORE_END_BYTES, 1.0, False),
+        (clients_module.MAX_UNREAD_BEFORE_END_BYTES + 1, PRESENCE_VALID_S / 2, False),
+        (clients_module.MAX_UNREAD_BEFORE_END_BYTES + 1, 2 * PRESENCE_VALID_S, True),
+    ],
+)
+def test_a_client_counts_as_there_for_a_time_while_its_end_may_lie_unread(
+    monkeypatch: pytest.MonkeyPatch, unread_bytes: int, known_s_ago: float, may_have_left: bool
+) -> None:
+    connection = clients_module.ClientConnection.__new__(clients_module.ClientConnection)
+    connection._drained_at_s = 0.0
+    monkeypatch.setattr(clients_module.time, "monotonic", lambda: 100.0)
+    monkeypatch.setattr(clients_module.ClientConnection, "_unread_bytes", lambda connection: unread_bytes)
+    assert connection.may_have_left_since(100.0 - known_s_ago) == may_have_left
+    connection._drained_at_s = 100.0
+    assert not connection.may_have_left_since(100.0 - known_s_ago)
--- a/yewstage/net/attempts.py
+++ b/yewstage/net/attempts.py
@@ -13,7 +13,7 @@
 
 from yewstage import interface as api
 from yewstage.net.http1 import Reply
-from yewstage.net.pool import ABANDONED, Link, Pool, Source, Stream
+from yewstage.net.pool import Link, Pool, Source, Stream
 from yewstage.net.stats import DescriptorUse
 from yewstage.net.upload import Upload
 
@@ -21,8 +21,13 @@
 # After a time-out the loop gets one or two turns to read data that has arrived, before the time-out counts.
 READ_GRACE_S = 0.002
 # Why an attempt was not written though it had a link; labels of a metric, and causes in the log.
-CLIENT_LEFT, NO_TIME_LEFT, START_DEADLINE_PASSED = "client_left", "no_time_left", "start_deadline_passed"
-WITHHOLD_REASONS = (CLIENT_LEFT, NO_TIME_LEFT, START_DEADLINE_PASSED)
+CLIENT_LEFT, CLIENT_UNSEEN, NO_TIME_LEFT, START_DEADLINE_PASSED = (
+    "client_left",
+    "client_unseen",
+    "no_time_left",
+    "start_deadline_passed",
+)
+WITHHOLD_REASONS = (CLIENT_LEFT, CLIENT_UNSEEN, NO_TIME_LEFT, START_DEADLINE_PASSED)
 
 
 class AttemptOwner(Protocol):
@@ -35,9 +40,10 @@
         """
 
     def is_client_connected(self, attempt: Attempt) -> bool:
-        """Whether the attempt's client is still there, by the system.
+        """Whether the attempt's client is still there, by the system; False also where the system can't tell.
 
         Called last before the first byte of the attempt is written, which is not written without a client.
+        An attempt whose client has left has ended when this returns.
         """
 
     def on_sent(self, attempt: Attempt) -> None:
@@ -247,7 +253,7 @@
         attempt.complete_head(min(waits_until - now, attempt.timeout_s))
         # The client is asked for last: it may leave while the process is held up before the write.
         if not self._owner.is_client_connected(attempt):
-            self._withhold(attempt, link, CLIENT_LEFT)
+            self._withhold(attempt, link, CLIENT_LEFT if attempt.is_done else CLIENT_UNSEEN)
             return
         attempt.link, attempt.may_have_sent = link, True
         link.begin(attempt)
@@ -297,8 +303,7 @@
             self.pool.cancel_wait(attempt.server, attempt)
             self._stop_waiting(attempt)
         if attempt.link is not None:
-            attempt.link.exchange = None
-            attempt.link.abort(ABANDONED)
+            attempt.link.abandon()
 
     def _end(self, attempt: Attempt, result: str, reply: Reply | None = None) -> None:
         if attempt.is_done:
--- a/yewstage/net/client_request.py
+++ b/yewstage/net/client_request.py
@@ -62,7 +62,7 @@
     def __init__(self) -> None:
         self.url = b""
         self.headers: dict[bytes, bytes] = {}
-        self.body: list[bytes] = []
+        self.body = bytearray()  # of a streamed body what is not forwarded yet
         self.body_bytes = 0  # received so far
         self.method = b""
         self.http_version = "1.1"
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -39,6 +39,10 @@
 MAX_PIPELINED_BYTES = 64 * 1024  # queued before reading pauses; a client's end is seen only while reading
 SPARE_IDLE_TIMEOUT_S = 2.0  # a connection idle for longer is closed when a new client needs room
 SILENT_TIMEOUT_S = 0.5  # so is one without a request yet, once it has received nothing for so long
+# How long a client counts as there while its end may lie unread behind more bytes than these; with fewer, the
+# system has room for the end. Attempts that begin 0.1 s after a client's close are too late.
+PRESENCE_VALID_S = 0.08
+MAX_UNREAD_BEFORE_END_BYTES = 4 * 1024
 LINGER_TIMEOUT_S = 1.0  # for reading on after the last answer is delivered, unless the client closes first
 
 REASON_PHRASES = {
@@ -64,6 +68,7 @@
         "_read_gap",
         "_read_arrived_at_s",
         "_max_read_bytes",
+        "_drained_at_s",
         "_descriptor",
         "transport",
         "_parser",
@@ -103,6 +108,7 @@
         self._read_gap = ReadGap(listener.core.loop_monitor, unread_since_s)
         self._read_arrived_at_s = 0.0  # the earliest that the latest bytes read may have arrived
         self._max_read_bytes = READ_BYTES  # of the latest read
+        self._drained_at_s = 0.0  # when all that had arrived was read, by the monotonic clock
         self._descriptor = -1  # of the transport's socket; -1 until it is needed
         self.transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
@@ -160,6 +166,8 @@
         if not self._is_closing:
             now = time.monotonic()
             is_all_read = len(data) != self._max_read_bytes  # else the buffer was full
+            if is_all_read:
+                self._drained_at_s = now
             self._read_arrived_at_s = loop_arrival_s = now - self._core.loop_monitor.read_delay_s(now)
             if self._read_gap.is_open():
                 self._read_arrived_at_s = self._read_gap.earliest_arrival_s(now)
@@ -167,6 +175,7 @@
                     self._read_gap.end()
             message = self._message
             self._feed_parser(data)
+            self._forward_body()
             if loop_arrival_s - self._read_arrived_at_s > STALL_THRESHOLD_S:
                 self._refine_arrival(message, now, loop_arrival_s)
             if self._open_uploads and is_all_read:
@@ -324,6 +333,20 @@
             self._release_requests()
         return is_hung_up
 
+    def may_have_left_since(self, known_at_s: float) -> bool:
+        """Whether the client may have left since then, its end behind bytes for which there is no room."""
+        known_at_s = max(known_at_s, self._drained_at_s)
+        if time.monotonic() - known_at_s <= PRESENCE_VALID_S:
+            return False
+        return self._unread_bytes() > MAX_UNREAD_BEFORE_END_BYTES
+
+    def _may_complete_upload(self) -> bool:
+        """Whether the last byte of the present request's body may be written; else the request has ended."""
+        if not self.has_disconnected():
+            return True
+        self._release_open_request()
+        return False
+
     def _fileno(self) -> int:
         """Return the descriptor of the socket; the transport must not be closing."""
         if self._descriptor < 0:
@@ -453,16 +476,13 @@
             self._update_reading,
             self._discard_upload,
             self._evict,
+            self._may_complete_upload,
         )
         self._open_uploads += (message.upload,)
         message.awaits_continue = (
             message.headers.get(b"expect", b"").lower() == b"100-continue" and not message.body_bytes
         )
         limit_socket_buffer(self.transport, socket.SO_RCVBUF)
-        if message.body:
-            self._core.stats.uploaded_bytes += message.body_bytes
-            message.upload.feed(b"".join(message.body))
-            message.body.clear()
         self._pending_requests.append(message)
 
     def on_body(self, data: bytes) -> None:
@@ -474,14 +494,27 @@
             self._fail_message(413)
         elif message.method == b"GET":
             self._fail_message(400)
-        elif message.upload is not None:
-            self._core.stats.uploaded_bytes += len(data)
-            message.upload.feed(data)
         else:
-            message.body.append(data)
-            if message.body_bytes > MAX_BUFFERED_BODY_BYTES:
+            message.body += data
+            if message.upload is None and message.body_bytes > MAX_BUFFERED_BODY_BYTES:
                 self._start_upload(message)
 
+    def _take_streamed_body(self, message: RequestMessage) -> bytes:
+        """Return what was received of a streamed body and is not forwarded yet.
+
+        Parts that came with one read go on as one, as each by itself takes much more than its bytes.
+        """
+        data = bytes(message.body)
+        message.body.clear()
+        self._core.stats.uploaded_bytes += len(data)
+        return data
+
+    def _forward_body(self) -> None:
+        """Forward what the present read has brought of a streamed body."""
+        message = self._message
+        if message is not None and message.upload is not None and message.body:
+            message.upload.feed(self._take_streamed_body(message))
+
     def on_message_complete(self) -> None:
         message = self._message
         if self._is_closing:
@@ -495,7 +528,7 @@
         message.arrived_at_s = self._read_arrived_at_s
         if message.upload is not None:
             self._set_body_arrival(message, max(message.arrived_at_s, message.upload.arrived_at_s or 0.0))
-            message.upload.finish()
+            message.upload.finish(self._take_streamed_body(message))
             if message is self._current_request and not self._is_answer_due:
                 self._close_gracefully()  # it was answered before its body was complete
         else:
@@ -583,7 +616,7 @@
         client_request = item.client_request
         client_request.upload = item.upload
         if item.upload is None:
-            client_request.body, item.body = b"".join(item.body), []
+            client_request.body, item.body = bytes(item.body), bytearray()
         client_request.head += framing_header(item)
         self._open_request_bytes = len(client_request.head) + len(client_request.body)
         request_id = self._core.request(self, client_request, item.arrived_at_s)
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -68,6 +68,12 @@
     def has_disconnected(self) -> bool:
         """Whether the client closed its connection or ended its sending, even if that is not read yet."""
 
+    def may_have_left_since(self, known_at_s: float) -> bool:
+        """Whether its end may lie behind bytes that are not read yet.
+
+        `known_at_s` is when the client was known to be there, by the monotonic clock.
+        """
+
     def answer(
         self, status: int, body: bytes = b"", content_type: bytes = b"", retry_after_ms: float = 0.0
     ) -> None:
@@ -579,13 +585,18 @@
     def is_client_connected(self, attempt: Attempt) -> bool:
         """Whether the client is still there, by the system. One that has left counts as disconnected at once.
 
-        With `client_waits_until`, this alone decides whether the first byte of an attempt is written.
+        With `client_waits_until`, this alone decides whether the first byte of an attempt is written. It is
+        False, too, where the client's end may lie unread. A long body is an exception: its own rest may lie
+        there, and the client is asked for again before its last byte, with which the request begins.
         """
         request = self._requests[attempt.request]
-        if request.client is None or not request.client.has_disconnected():
-            return request.client is not None
-        self.client_disconnected(request.id, "client left, seen before an attempt")
-        return False
+        client = request.client
+        if client is None:
+            return False
+        if client.has_disconnected():
+            self.client_disconnected(request.id, "client left, seen before an attempt")
+            return False
+        return attempt.upload is not None or not client.may_have_left_since(request.received_at)
 
     def on_sent(self, attempt: Attempt) -> None:
         """Called when the last byte of an attempt was written."""
--- a/yewstage/net/pool.py
+++ b/yewstage/net/pool.py
@@ -26,7 +26,7 @@
     ReplyProtocol,
     limit_socket_buffer,
 )
-from yewstage.net.socket_state import undelivered_bytes
+from yewstage.net.socket_state import discard_on_close, undelivered_bytes
 from yewstage.net.stats import DescriptorUse
 from yewstage.net.upload import Upload
 
@@ -552,6 +552,17 @@
         self._pool.remove(self)
         super().abort()
 
+    def abandon(self) -> None:
+        """Close the link of an exchange that nobody wants any more.
+
+        The system would go on sending what it holds of a long body, and the request would begin after all, so
+        this is discarded.
+        """
+        exchange, self.exchange = self.exchange, None
+        if exchange is not None and exchange.upload is not None:
+            discard_on_close(self.transport)
+        self.abort(ABANDONED)
+
     def begin(self, exchange: Exchange) -> None:
         """Write the request of an exchange."""
         self.exchange = exchange
@@ -571,7 +582,7 @@
         exchange = self.exchange
         if not self.has_unsent_data or exchange is None or self.transport.get_write_buffer_size():
             return
-        if exchange.upload is None or exchange.upload.is_complete:
+        if exchange.upload is None or exchange.upload.is_written:
             self.has_unsent_data = False
             self._pool.observer.on_sent(exchange)
 
--- a/yewstage/net/socket_state.py
+++ b/yewstage/net/socket_state.py
@@ -53,6 +53,13 @@
     return in_transport + _queue_bytes(sock.fileno(), termios.TIOCOUTQ)
 
 
+def discard_on_close(transport: asyncio.Transport) -> None:
+    """Make the next close of an open transport reset the connection, without sending what is still unsent."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 def _queue_bytes(descriptor: int, request: int) -> int:
     count = array.array("i", [0])
     fcntl.ioctl(descriptor, request, count)
--- a/yewstage/net/upload.py
+++ b/yewstage/net/upload.py
@@ -19,7 +19,8 @@
     upload is a stream of the memory budget. Without a content length it is sent in chunked transfer coding.
 
     `on_flow_change` is called when `is_held_back` may have changed, `on_close` once, and `evict` when the
-    memory budget asks to end the client's connection.
+    memory budget asks to end the client's connection. `may_complete` is asked right before the last byte is
+    written to a server, which begins the request then; it is not written if the client has left.
     """
 
     def __init__(
@@ -29,12 +30,15 @@
         on_flow_change: Callable[[], None],
         on_close: Callable[[Upload], None],
         evict: Callable[[], None],
+        may_complete: Callable[[], bool] = lambda: True,
     ) -> None:
         self._content_length, self._account = content_length, account
+        self._may_complete = may_complete
         self._on_flow_change, self._on_close = on_flow_change, on_close
         self._is_full = self._is_budget_paused = False  # either of them holds the client back
         self._unsent: list[bytes] = []  # until a server connection is attached
         self._unsent_bytes = 0
+        self._last_part: bytes | None = None  # set while it waits for the parts before it to be written
         self._server_connection: ReplyProtocol | None = None
         self._unacknowledged_bytes = 0  # by the server's machine, as seen last
         self.is_complete = False  # received to its end
@@ -49,16 +53,35 @@
         """Whether no more of the body is to be read from the client for now."""
         return self._is_full or self._is_budget_paused
 
+    @property
+    def is_written(self) -> bool:
+        """Whether its last byte was written to a server connection, or to its transport."""
+        return self.is_complete and self._last_part is None
+
     def feed(self, data: bytes) -> None:
         """Forward a part of the body, as received from the client."""
-        if self._content_length is None:
-            data = b"%x\r\n%b\r\n" % (len(data), data)
-        self._forward(data)
+        self._forward(self._framed(data))
 
-    def finish(self) -> None:
-        """Mark the body as complete and send the end of its framing."""
+    def finish(self, data: bytes = b"") -> None:
+        """Forward the last part of the body, and the end of its framing.
+
+        A part that waits in a transport is sent even if the client leaves meanwhile, so the last one waits
+        here for those before it.
+        """
         self.is_complete = True
-        self._forward(LAST_CHUNK if self._content_length is None else b"")
+        data = self._framed(data) if data else b""
+        self._last_part = data + (LAST_CHUNK if self._content_length is None else b"")
+        if self._server_connection is None or not self._server_connection.transport.get_write_buffer_size():
+            self._forward_last_part()
+
+    def _framed(self, data: bytes) -> bytes:
+        return data if self._content_length is not None else b"%x\r\n%b\r\n" % (len(data), data)
+
+    def _forward_last_part(self) -> None:
+        if self.is_closed or (self._server_connection is not None and not self._may_complete()):
+            return
+        data, self._last_part = self._last_part, None
+        self._forward(data)
 
     def attach(self, server_connection: ReplyProtocol, head: bytes) -> None:
         """Send the head and the body received so far on this connection, and the rest as it arrives."""
@@ -73,6 +96,7 @@
             return
         self.is_closed, self._server_connection = True, None
         self._unsent.clear()
+        self._last_part = None
         self._account.end()  # with the budget's pause
         self._is_full = False
         self._on_close(self)
@@ -80,7 +104,11 @@
 
     def drained(self) -> None:
         """Note that the server connection's write buffer is empty."""
-        if not self.is_closed:
+        if self.is_closed:
+            return
+        if self._last_part is not None:
+            self._forward_last_part()
+        else:
             self._set_held_bytes(0)
 
     def check_progress(self) -> None:
