Let long answers outlive an outage of the network

Cause: a streamed answer was given up after 5 s without progress (checked once a second), while the network may be out for 6 s, in which open connections stay open and silent.

Change: the limit of a streamed answer follows from the longest outage: the system sends again at doubling intervals, so a connection goes on after at most twice that time; 14 s in all. Bodies that a server does not take keep their 5 s: their clients wait for an answer, and what was not sent whole has not run.

Measured: tests/test_outages.py, the scenario and the unit test of the limit fail before (100,000 of 200,000 bytes after 6 to 7 s of silence) and pass.

--- /dev/null
+++ b/tests/test_outages.py
@@ -0,0 +1,67 @@
+"""Long answers outlive an outage of the network: their connections stay open and silent, and then go on."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+from conftest import message, run_on_loop
+from test_bodies import ScriptedServerRig, body_of
+
+from yewstage.net import pool as pool_module
+from yewstage.net.pool import ANSWER_STALL_S, BODY_STALL_S, LONGEST_OUTAGE_S, SWEEP_INTERVAL_S, Link
+
+PART = b"x" * 100_000
+LIMIT_S = 40.0
+
+
+# Guards against: a long answer was cut off within an outage after which its server went on (review case 9).
+def test_a_long_answer_goes_on_after_an_outage(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async def falls_silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (2 * len(PART)) + PART)
+            await asyncio.sleep(LONGEST_OUTAGE_S + SWEEP_INTERVAL_S)
+            writer.write(PART)
+
+        async with ScriptedServerRig(tmp_path, falls_silent) as rig:
+            reader, writer = await rig.connect()
+            writer.write(message())
+            assert await body_of(await reader.readuntil(b"\r\n\r\n"), reader) == 2 * PART
+            writer.close()
+
+    run_on_loop(scenario, LIMIT_S)
+
+
+class SilentTransport:
+    """A server connection on which nothing moves."""
+
+    def __init__(self) -> None:
+        self.is_aborted = False
+
+    def get_write_buffer_size(self) -> int:
+        return 1
+
+    def abort(self) -> None:
+        self.is_aborted = True
+
+
+@pytest.mark.parametrize(("has_answer", "limit_s"), [(True, ANSWER_STALL_S), (False, BODY_STALL_S)])
+def test_a_stream_without_progress_is_given_up_in_the_end(
+    monkeypatch: pytest.MonkeyPatch, has_answer: bool, limit_s: float
+) -> None:
+    assert ANSWER_STALL_S > 2 * LONGEST_OUTAGE_S  # the system sends again after at most that time
+    monkeypatch.setattr(pool_module, "undelivered_bytes", lambda transport: 1)
+    transport = SilentTransport()
+    link = Link.__new__(Link)
+    link.transport, link._is_paused, link._progress, link._progress_at = transport, False, (0, 0), 0.0
+    link.has_unsent_data, link._read_count, link.close_reason = True, 0, ""
+    link.exchange = type("Body", (), {"upload": object()})()
+    link._stream = object() if has_answer else None
+    link._pool = type("Pool", (), {"remove": lambda pool, link: None})()
+    link.check_progress(0.0)  # notes what there is
+    link.check_progress(limit_s)
+    assert not transport.is_aborted
+    link.check_progress(limit_s + SWEEP_INTERVAL_S)
+    assert transport.is_aborted and link.close_reason == pool_module.STALLED
--- a/yewstage/net/pool.py
+++ b/yewstage/net/pool.py
@@ -37,7 +37,11 @@
 # How long an answer of unknown length is buffered: it may end in this time, and a retry is possible until a
 # part of it was passed on.
 UNKNOWN_LENGTH_HOLD_S = 0.1
-STREAM_STALL_S = 5.0  # a streamed body without progress for so long is given up
+# A streamed answer outlives an outage of the network. The system sends again at doubling intervals, so that a
+# connection goes on after at most as long again as the outage took.
+LONGEST_OUTAGE_S = 6.0
+ANSWER_STALL_S = 2 * LONGEST_OUTAGE_S + 2 * SWEEP_INTERVAL_S  # without progress for so long it is given up
+BODY_STALL_S = 5.0  # so is a body that its server does not take, whose client waits for its answer
 # Results of dials and reasons of closes, as labels of the metrics.
 UP, FAILED, TIMED_OUT, DIAL_NO_DESCRIPTOR, CANCELLED = (
     "up",
@@ -720,11 +724,12 @@
         is_uploading = self.has_unsent_data and self.exchange is not None and self.exchange.upload is not None
         if self._is_paused or not (is_uploading or self._stream is not None):
             return
+        limit_s = BODY_STALL_S if self._stream is None else ANSWER_STALL_S
         unwritten_bytes = self.transport.get_write_buffer_size()
         progress = (self._read_count, undelivered_bytes(self.transport))
         if progress != self._progress or (is_uploading and not unwritten_bytes):
             self._progress, self._progress_at = progress, now
-        elif now - self._progress_at > STREAM_STALL_S:
+        elif now - self._progress_at > limit_s:
             self.close_cause = "streamed body stalled"
             self.abort(STALLED)
 
