Run a long request's time while its last byte has no room at this machine

Cause: the time of a long request ran from its last byte at this machine. While reading is paused on behalf of the server there is no room for it, so its client may have sent it long ago. For bodies in chunks any unread bytes already counted as their end, for others only all of the missing ones.

Change: unread bytes that leave no room for more may hide the end of any body. A body that goes on withdraws this, as before, now after every read: since reads take a chosen size, a body at full speed leaves something unread each time.

--- a/tests/test_body_deadlines.py
+++ b/tests/test_body_deadlines.py
@@ -32,6 +32,7 @@
 RECEIVE_BUFFER_BYTES = 64 * 1024  # of the servers, so that they leave most of a body to the gateway
 # Between what a stuck server takes, and what the gateway takes beside it.
 BODY_SIZES = range(150_000, 700_000, 50_000)
+TOO_LONG_BYTES = 8_000_000  # for all buffers on the way
 BAD_CLIENT_LIMIT_S = 3.0  # for clients that stop within a request and stay
 FAILED_STATUSES = (502, 503, 504)
 LIMIT_S = 40.0
@@ -60,6 +61,11 @@
     )  # an event that nothing refers to would be collected, and the connection closed
 
 
+async def takes_a_part(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    await reader.readexactly(BODY_SIZES[0])
+    await never_reads(reader, writer)
+
+
 async def reads_slowly(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     while await reader.read(4096):
         await asyncio.sleep(0.1)
@@ -125,6 +131,26 @@
     run_on_loop(scenario, LIMIT_S)
 
 
+# Guards against: a body too long for all buffers was answered 5 to 7 s after its server took no more of it.
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+@pytest.mark.parametrize("script", [never_reads, takes_a_part])
+def test_a_long_request_is_answered_in_its_time_though_its_last_byte_has_no_room(
+    tmp_path: Path, script: Script, framing: str
+) -> None:
+    async def scenario() -> None:
+        async with StuckServerRig(tmp_path, script) as rig:
+            reader, writer = await rig.connect()
+            writer.write(long_request(TOO_LONG_BYTES, framing))
+            sent_at = time.monotonic()
+            assert int((await read_message(reader, writer)).line.split()[1]) in FAILED_STATUSES
+            assert unacknowledged_bytes(writer)
+            assert time.monotonic() - sent_at < DEADLINE_S + ANSWER_SLACK_S
+            writer.close()
+            await until_released(rig, "a request to a server that takes nothing")
+
+    run_on_loop(scenario, LIMIT_S)
+
+
 # Guards against: the time of a long request began only when an earlier one on its connection had ended.
 def test_the_time_of_a_long_request_runs_while_it_waits_behind_another_one(
     monkeypatch: pytest.MonkeyPatch,
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -178,7 +178,7 @@
             self._forward_body()
             if loop_arrival_s - self._read_arrived_at_s > STALL_THRESHOLD_S:
                 self._refine_arrival(message, now, loop_arrival_s)
-            if self._open_uploads and is_all_read:
+            if self._open_uploads:
                 self._withdraw_arrival()
             self._process_queue()
             self._request_account.set(self._buffered_request_bytes())
@@ -211,26 +211,26 @@
             self._core.body_arrived(self._open_request_id)
 
     def _note_unread_end(self) -> None:
-        """Start the time of a streamed body whose last byte lies in the socket while reading is paused.
+        """Start the time of a streamed body whose last byte may have been sent while reading is paused.
 
-        The length of a chunked body is unknown, so any unread bytes may hold its end. If it goes on after
-        them, `_withdraw_arrival` corrects this.
+        It lies in the socket, or behind bytes for which there is no room. The length of a chunked body is
+        unknown, so any unread bytes may hold its end. If the body goes on, `_withdraw_arrival` corrects this.
         """
         message = self._message
         if message is None or message.upload is None or message.upload.arrived_at_s is not None:
             return
         unread_bytes = self._unread_bytes()
         missing_bytes = 1 if message.content_length is None else message.content_length - message.body_bytes
-        if unread_bytes < missing_bytes:
+        if unread_bytes < min(missing_bytes, MAX_UNREAD_BEFORE_END_BYTES + 1):
             return
         now = time.monotonic()
         since_s = seconds_since_last_data(self.transport.get_extra_info("socket")) or 0.0
         self._set_body_arrival(message, now - since_s)
 
     def _withdraw_arrival(self) -> None:
-        """Correct the arrival of a chunked body that has turned out to go on."""
+        """Correct the arrival of a body that has turned out to go on."""
         message = self._message
-        if message is None or message.upload is None or message.content_length is not None:
+        if message is None or message.upload is None:
             return
         if message.upload.arrived_at_s is not None:
             self._set_body_arrival(message, None)
