Bound what one connection does in a turn of the event loop

Cause: all of a read of up to 256 KB was parsed and all of its requests were begun at once, before any other socket was looked at: up to 11,000 requests, each refused at once. After each of them the bytes of all waiting ones were added up anew, so that the time grew with the square of their number. A request with a short head counted as nothing, as only header fields did, so that a queue of them never filled. Timers of ended connections kept them in memory for a second.

Change: heads are read 8 KiB at a time and bodies in chunks 16 KiB; a connection whose read filled its buffer, or that has begun eight requests, waits for its next turn; four connections have one in each iteration of the event loop (turns.py). A queue keeps the sum of what it holds, 1 KiB for each request beside its text (request_queue.py). The timer after a last answer ends with the connection.

--- a/yewstage/net/client_listener.py
+++ b/yewstage/net/client_listener.py
@@ -15,6 +15,7 @@
 from yewstage.net.clients import ClientConnection
 from yewstage.net.core import Core
 from yewstage.net.loop_monitor import ReadGap
+from yewstage.net.turns import TurnQueue
 
 log = logging.getLogger(__name__)
 
@@ -38,6 +39,7 @@
         self.names = ClassAndPlanNames(core.settings)
         self.connections: set[ClientConnection] = set()
         self.descriptor_use = core.stats.descriptors.uses["clients"]
+        self.turns = TurnQueue(loop.call_soon)
         self.max_upload_bytes = core.max_upload_bytes
         self._socket_limit = sockets
         self._listening_socket: socket.socket | None = None
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 import time
-from collections import deque
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import httptools
@@ -15,6 +15,7 @@
 from yewstage.net.loop_monitor import STALL_THRESHOLD_S, ReadGap
 from yewstage.net.pool import Source
 from yewstage.net.receive_buffer import READ_BYTES, receive_buffer, received_bytes
+from yewstage.net.request_queue import RequestQueue, buffered_bytes
 from yewstage.net.socket_state import (
     has_hung_up,
     seconds_since_last_data,
@@ -36,6 +37,10 @@
 ANSWER_READ_TIMEOUT_S = 30.0  # a client that reads nothing of its answer for longer is disconnected
 DELIVERY_STALL_TIMEOUT_S = 10.0  # an answered client that takes nothing for longer counts as idle
 IDLE_TIMEOUT_S = 75.0  # for an idle connection while there is room for others
+# One read while heads are received, and of a body in chunks, as each of their parts takes time to parse.
+HEAD_READ_BYTES = 8 * 1024
+CHUNKED_READ_BYTES = 16 * 1024
+REQUESTS_PER_TURN = 8  # begun at once; the further ones of a connection wait for its next turn
 MAX_PIPELINED_BYTES = 64 * 1024  # queued before reading pauses; a client's end is seen only while reading
 SPARE_IDLE_TIMEOUT_S = 2.0  # a connection idle for longer is closed when a new client needs room
 SILENT_TIMEOUT_S = 0.5  # so is one without a request yet, once it has received nothing for so long
@@ -68,6 +73,8 @@
         "_read_gap",
         "_read_arrived_at_s",
         "_max_read_bytes",
+        "_is_waiting_for_turn",
+        "_is_reading",
         "_drained_at_s",
         "_descriptor",
         "transport",
@@ -87,6 +94,7 @@
         "_open_uploads",
         "_is_budget_paused",
         "_is_flushing",
+        "_close_timer",
         "_is_delivering",
         "_undelivered_bytes",
         "_delivery_progressed_at_s",
@@ -108,13 +116,14 @@
         self._read_gap = ReadGap(listener.core.loop_monitor, unread_since_s)
         self._read_arrived_at_s = 0.0  # the earliest that the latest bytes read may have arrived
         self._max_read_bytes = READ_BYTES  # of the latest read
+        self._is_waiting_for_turn = False
+        self._is_reading = True  # as the transport was told last
         self._drained_at_s = 0.0  # when all that had arrived was read, by the monotonic clock
         self._descriptor = -1  # of the transport's socket; -1 until it is needed
         self.transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._message: RequestMessage | None = None  # the one being received
-        # Requests to process; a number is the status with which an invalid request is answered.
-        self._pending_requests: deque[RequestMessage | int] = deque()
+        self._pending_requests = RequestQueue()  # requests to process
         self._current_request: RequestMessage | None = None  # the last one whose processing began
         self._open_request_id: str | None = None  # id of the request that awaits its answer
         self._is_answer_due = False  # a request is being processed
@@ -127,6 +136,7 @@
         self._open_uploads: tuple[Upload, ...] = ()  # closed with the connection at the latest
         # The memory budget pauses the streamed answer; a complete answer is not yet written in full.
         self._is_budget_paused = self._is_flushing = False
+        self._close_timer: asyncio.TimerHandle | None = None  # after the last answer
         self._is_delivering = False  # the client's machine may lack a part of an answer
         self._undelivered_bytes = 0  # of that answer, as seen last
         self._delivery_progressed_at_s = 0.0  # when their number changed last
@@ -145,10 +155,17 @@
     # asyncio.BufferedProtocol
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        # A long body may hold so much until its server takes it.
-        self._max_read_bytes = self._core.budget.read_bytes() if self._open_uploads else READ_BYTES
+        self._max_read_bytes = self._next_read_bytes()
         return receive_buffer(self._max_read_bytes)
 
+    def _next_read_bytes(self) -> int:
+        """Return how much to read at once, so that parsing it takes little time and a body holds little."""
+        message = self._message
+        if message is None or not message.head_complete_at_s:
+            return HEAD_READ_BYTES
+        limit_bytes = READ_BYTES if message.content_length is not None else CHUNKED_READ_BYTES
+        return min(limit_bytes, self._core.budget.read_bytes()) if self._open_uploads else limit_bytes
+
     def buffer_updated(self, nbytes: int) -> None:
         self.data_received(received_bytes(nbytes))
 
@@ -163,25 +180,46 @@
     def data_received(self, data: bytes) -> None:
         """Parse what was read, and begin the requests that it completes."""
         self.received_at_s = self._listener.now()
+        is_all_read = len(data) != self._max_read_bytes  # else the buffer was full
         if not self._is_closing:
-            now = time.monotonic()
-            is_all_read = len(data) != self._max_read_bytes  # else the buffer was full
+            self._take(data, is_all_read)
+        if not is_all_read:
+            self._wait_for_turn()
+
+    def _take(self, data: bytes, is_all_read: bool) -> None:
+        """Parse what was read, and begin requests."""
+        now = time.monotonic()
+        if is_all_read:
+            self._drained_at_s = now
+        self._read_arrived_at_s = loop_arrival_s = now - self._core.loop_monitor.read_delay_s(now)
+        if self._read_gap.is_open():
+            self._read_arrived_at_s = self._read_gap.earliest_arrival_s(now)
             if is_all_read:
-                self._drained_at_s = now
-            self._read_arrived_at_s = loop_arrival_s = now - self._core.loop_monitor.read_delay_s(now)
-            if self._read_gap.is_open():
-                self._read_arrived_at_s = self._read_gap.earliest_arrival_s(now)
-                if is_all_read:
-                    self._read_gap.end()
-            message = self._message
-            self._feed_parser(data)
-            self._forward_body()
-            if loop_arrival_s - self._read_arrived_at_s > STALL_THRESHOLD_S:
-                self._refine_arrival(message, now, loop_arrival_s)
-            if self._open_uploads:
-                self._withdraw_arrival()
-            self._process_queue()
-            self._request_account.set(self._buffered_request_bytes())
+                self._read_gap.end()
+        message = self._message
+        self._feed_parser(data)
+        self._forward_body()
+        if loop_arrival_s - self._read_arrived_at_s > STALL_THRESHOLD_S:
+            self._refine_arrival(message, now, loop_arrival_s)
+        if self._open_uploads:
+            self._withdraw_arrival()
+        self._process_queue()
+        self._request_account.set(self._buffered_request_bytes())
+
+    def _wait_for_turn(self) -> None:
+        """Read and begin nothing more until all other connections had the chance to."""
+        if not self._is_waiting_for_turn and not self.transport.is_closing():
+            self._is_waiting_for_turn = True
+            self._read_gap.pause()
+            self._listener.turns.add(self)
+            self._update_reading()
+
+    def take_turn(self) -> None:
+        """Go on with what was left for this turn."""
+        self._is_waiting_for_turn = False
+        self._read_gap.resume()
+        self._process_queue()
+        self._update_reading()
 
     def _refine_arrival(self, continued: RequestMessage | None, now: float, loop_arrival_s: float) -> None:
         """Ask the system when the last byte of a request arrived that may have come while nothing was read.
@@ -194,8 +232,8 @@
             return
         if not self._pending_requests and continued is not None and continued is self._current_request:
             request = continued
-        elif len(self._pending_requests) == 1 and not self._is_answer_due:
-            request = self._pending_requests[0]
+        elif not self._is_answer_due:
+            request = self._pending_requests.only()
         else:
             return
         since_s = seconds_since_last_data(self.transport.get_extra_info("socket"))
@@ -237,13 +275,10 @@
 
     def _buffered_request_bytes(self) -> int:
         """Bytes of requests in memory: being received, queued, or awaiting their answer."""
-        size = self._open_request_bytes
-        if self._message is None and not self._pending_requests:
-            return size
-        for item in (self._message, *self._pending_requests):
-            if isinstance(item, RequestMessage):
-                size += item.head_bytes + (0 if item.upload is not None else item.body_bytes)
-        return size
+        size = self._open_request_bytes + self._pending_requests.bytes
+        if self._message is None or self._message.upload is not None:
+            return size  # what is streamed is either queued or open
+        return size + buffered_bytes(self._message)
 
     def _feed_parser(self, data: bytes) -> None:
         in_body = self._message is not None and self._message.head_complete_at_s
@@ -363,9 +398,7 @@
 
     def _drop_queued_requests(self) -> None:
         """Drop the requests whose processing has not begun, with what is held of their bodies."""
-        dropped = list(self._pending_requests)
-        self._pending_requests.clear()
-        for item in dropped:
+        for item in self._pending_requests.drain():
             if isinstance(item, RequestMessage) and item.upload is not None:
                 item.upload.close()
         self._is_queue_full = False
@@ -375,6 +408,8 @@
         self._open_uploads = tuple(other for other in self._open_uploads if other is not upload)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        if self._close_timer is not None:
+            self._close_timer.cancel()
         self._listener.closed(self)
         self._answer_source = None
         self._release_requests()
@@ -400,6 +435,7 @@
     def on_url(self, url: bytes) -> None:
         if not self._is_replaying_head:
             self._message.url += url
+            self._message.head_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         message = self._message
@@ -550,7 +586,7 @@
         if message is None or message.upload is None:
             self._reject(status)
         elif message is not self._current_request:
-            self._pending_requests.remove(message)
+            self._pending_requests.discard(message)
             message.upload.close()
             self._reject(status)
         elif self._is_answer_due and self._answer_source is None:
@@ -565,41 +601,58 @@
         should_pause = self._is_queue_full
         for upload in self._open_uploads:  # none but where a long request is in progress
             should_pause = should_pause or upload.is_held_back
-        if should_pause == (self._read_paused_at_s is not None) or self.transport.is_closing():
+        if self.transport.is_closing():
             return
+        if should_pause != (self._read_paused_at_s is not None):
+            self._note_pause(should_pause)
+        should_read = not should_pause and not self._is_waiting_for_turn
+        if should_read != self._is_reading:
+            self._is_reading = should_read
+            (self.transport.resume_reading if should_read else self.transport.pause_reading)()
+
+    def _note_pause(self, is_paused: bool) -> None:
+        """Note that the client is held back from now on, or not any more."""
         now = self._listener.now()
-        if should_pause:
+        if is_paused:
             self._read_paused_at_s = now
             self._read_gap.pause()
-            self.transport.pause_reading()
             return
         if self._message is not None:
             self._message.paused_s += now - self._read_paused_at_s
         self._read_paused_at_s = None
         self._read_gap.resume()
-        self.transport.resume_reading()
 
     def _process_queue(self) -> None:
         """Start queued requests, one at a time, then update the flow control of reading."""
         if self._is_processing_queue or self.transport is None:
             return
         self._is_processing_queue = True
+        begun = 0
         try:
-            while (
-                self._pending_requests
-                and not self._is_answer_due
-                and self._write_blocked_at_s is None
-                and self._is_body_read()
-            ):
+            while self._can_begin_request():
+                if begun == REQUESTS_PER_TURN:
+                    self._wait_for_turn()
+                    break
+                begun += 1
                 self._start_request(self._pending_requests.popleft())
         finally:
             self._is_processing_queue = False
         self._is_queue_full = (
-            bool(self._pending_requests) and self._buffered_request_bytes() > MAX_PIPELINED_BYTES
+            len(self._pending_requests) > 0 and self._buffered_request_bytes() > MAX_PIPELINED_BYTES
         )
         self._update_reading()
         self._send_continue()
 
+    def _can_begin_request(self) -> bool:
+        """Whether a request waits, and nothing before it is in its way."""
+        return (
+            len(self._pending_requests) > 0
+            and not self._is_answer_due
+            and not self._is_waiting_for_turn
+            and self._write_blocked_at_s is None
+            and self._is_body_read()
+        )
+
     def _is_body_read(self) -> bool:
         """Whether the current request's body has been received to its end."""
         return self._current_request is None or self._current_request.is_complete
@@ -756,11 +809,17 @@
             self.transport.write_eof()
             self._linger()
         else:  # reads and discards the rest of its body: see `on_message_complete`
-            self._listener.loop.call_later(BODY_DRAIN_TIMEOUT_S, self._abort_body_drain, message)
+            self._call_later(BODY_DRAIN_TIMEOUT_S, self._abort_body_drain, message)
+
+    def _call_later(self, delay_s: float, callback: Callable[..., None], *args: object) -> None:
+        """Set the only timer of the connection; a lost connection would stay in memory until it fires."""
+        if self._close_timer is not None:
+            self._close_timer.cancel()
+        self._close_timer = self._listener.loop.call_later(delay_s, callback, *args)
 
     def _linger(self) -> None:
         """Read on for a while after the last answer; until it is delivered, the time begins anew."""
-        self._listener.loop.call_later(LINGER_TIMEOUT_S, self._finish_linger)
+        self._call_later(LINGER_TIMEOUT_S, self._finish_linger)
 
     def _finish_linger(self) -> None:
         if self._is_still_delivering():
@@ -772,7 +831,7 @@
         if self._message is not message or self.transport.is_closing():
             return
         if self._is_still_delivering():
-            self._listener.loop.call_later(LINGER_TIMEOUT_S, self._abort_body_drain, message)
+            self._call_later(LINGER_TIMEOUT_S, self._abort_body_drain, message)
             return
         self._core.stats.count_truncated_stream("answered")
         self.transport.abort()
