Reserve what a request may hold, and release a lost connection at once

Cause, found by taking one thing away at a time: (1) a lost connection and its parser refer to each other, so that it stayed in memory, with its head and body, until a collection of cycles, and crowds connect anew all the time; (2) a buffered body was admitted by what had come of all bodies, so that all were admitted before any had come; (3) each piece of a body in chunks was an object of its own; (4) an idle connection kept the body of its last request; (5) heads were counted by their fields only and never refused; (6) memory that large bodies filled was missing for requests without any; (7) connections to servers were fewer than the clients that may hold one each for a long answer, so that slow readers left none to others.

Change: a connection releases its parser and messages when it is lost; a body reserves its length (in chunks, twice what has come) and is refused where that is too much; above nine tenths of the budget only requests of up to 4 KiB are admitted, and nothing is read ahead of its turn; what a refused or answered request holds is released at once; the budget is a fifth of what the resident memory leaves; 0.37 of the descriptors may be connections to servers.

--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -22,6 +22,7 @@
     CHUNKED_READ_BYTES,
     HEAD_READ_BYTES,
     MAX_PIPELINED_BYTES,
+    MAX_PIPELINED_REQUESTS,
     REQUESTS_PER_TURN,
     ClientConnection,
 )
@@ -152,13 +153,33 @@
     run_on_loop(scenario)
 
 
+# Guards against: a queue of requests with a short head never filled, and took what its client sent.
+@pytest.mark.parametrize("body_bytes", [0, 1000])
+def test_reading_pauses_while_enough_requests_wait(monkeypatch: pytest.MonkeyPatch, body_bytes: int) -> None:
+    async def scenario() -> None:
+        core, _ = await core_with(monkeypatch, FakeHttpServer(silent))
+        connection = ClientConnection(ClientListener(core, asyncio.get_running_loop(), 100))
+        connection.connection_made(FullTransport(connection))
+        request = message("put", body=b"x" * body_bytes)
+        waiting = -1  # the first one is open
+        while connection._read_paused_at_s is None:
+            connection.data_received(request)
+            waiting += 1
+        text_bytes = len(request) - request.count(b"\r\n")  # at most: without the parts that are not kept
+        fewest = min(MAX_PIPELINED_REQUESTS, MAX_PIPELINED_BYTES // text_bytes)
+        assert fewest <= waiting <= MAX_PIPELINED_REQUESTS
+        core.stop()
+
+    run_on_loop(scenario)
+
+
 # Guards against: requests with a short head counted as nothing, so that a queue of them grew without end.
 def test_a_queue_counts_each_request_whatever_its_length() -> None:
     queue, total = RequestQueue(), 0
     messages = [RequestMessage() for _ in range(10)]
     for i, item in enumerate([*messages, 400]):
         if isinstance(item, RequestMessage):
-            item.head_bytes, item.body_bytes = i, 2 * i
+            item.head_bytes, item.reserved_bytes = i, 2 * i
         queue.append(item)
         total += REQUEST_OVERHEAD_BYTES + (3 * i if isinstance(item, RequestMessage) else 0)
         assert queue.bytes == total
@@ -168,4 +189,3 @@
     assert len(queue) == 9 and queue.bytes == total - 2 * REQUEST_OVERHEAD_BYTES - 3 * 4
     assert queue.drain() == [*messages[1:4], *messages[5:], 400]
     assert not queue.bytes and not queue
-    assert MAX_PIPELINED_BYTES // REQUEST_OVERHEAD_BYTES == 64  # so many of the shortest may wait
--- a/tests/test_hidden_ends.py
+++ b/tests/test_hidden_ends.py
@@ -112,9 +112,21 @@
     monkeypatch: pytest.MonkeyPatch, unread_bytes: int, known_s_ago: float, may_have_left: bool
 ) -> None:
     connection = clients_module.ClientConnection.__new__(clients_module.ClientConnection)
-    connection._drained_at_s = 0.0
+    connection._drained_at_s, connection._is_reading = 0.0, False
     monkeypatch.setattr(clients_module.time, "monotonic", lambda: 100.0)
     monkeypatch.setattr(clients_module.ClientConnection, "_unread_bytes", lambda connection: unread_bytes)
     assert connection.may_have_left_since(100.0 - known_s_ago) == may_have_left
     connection._drained_at_s = 100.0
     assert not connection.may_have_left_since(100.0 - known_s_ago)
+
+
+def test_a_client_whose_input_is_read_counts_as_there_unless_the_event_loop_was_held_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    connection = clients_module.ClientConnection.__new__(clients_module.ClientConnection)
+    connection._drained_at_s, connection._is_reading = 0.0, True
+    monkeypatch.setattr(clients_module.ClientConnection, "_unread_bytes", lambda connection: BODY_BYTES)
+    for held_up_s, may_have_left in ((0.0, False), (2 * PRESENCE_VALID_S, True)):
+        monitor = type("Monitor", (), {"read_delay_s": lambda monitor, now, held_up_s=held_up_s: held_up_s})()
+        connection._core = type("Core", (), {"loop_monitor": monitor})()
+        assert connection.may_have_left_since(0.0) == may_have_left
--- a/yewstage/net/attempts.py
+++ b/yewstage/net/attempts.py
@@ -104,7 +104,7 @@
         sent_at: float,
         upload: Upload | None = None,
         class_name: str = "",
-        body: bytes | None = None,
+        body: bytes | bytearray | None = None,
     ) -> None:
         self.request, self.number, self.server, self.class_name = request, number, server, class_name
         # If `body` is set, `payload` lacks X-Deadline and the body, which are added when it is written.
--- a/yewstage/net/budget.py
+++ b/yewstage/net/budget.py
@@ -8,6 +8,8 @@
 
 # High and low water mark for streams; memory above the high one is reserved for buffered requests.
 HIGH_SHARE, LOW_SHARE = 0.8, 0.5
+LARGE_SHARE = 0.9  # memory above this part is reserved for requests of up to SMALL_REQUEST_BYTES
+SMALL_REQUEST_BYTES = 4 * 1024
 # One read of all streams together takes at most the first part of the memory below the high watermark, and
 # one read of a single stream the second part of what is left of it: later streams find room, too.
 ALL_STREAMS_SHARE = 1 / 2
@@ -145,9 +147,18 @@
             return False
         return (len(self._streams) + 1) * ADMITTED_STREAM_BYTES <= self.high_bytes
 
-    def admits(self, size: int) -> bool:
-        """Whether a buffered request body of this size fits into the budget."""
-        return self.held + size <= self.limit_bytes
+    def admits(self, size: int, more_bytes: int | None = None) -> bool:
+        """Whether a buffered request of this size fits into the budget.
+
+        `more_bytes` is the part of it that is not held yet; None if nothing is.
+        """
+        is_small = size <= SMALL_REQUEST_BYTES
+        limit_bytes = self.limit_bytes if is_small else int(LARGE_SHARE * self.limit_bytes)
+        return self.held + (size if more_bytes is None else more_bytes) <= limit_bytes
+
+    def is_short(self) -> bool:
+        """Whether only small requests are admitted, so that nothing is to be received ahead of its turn."""
+        return self.held > LARGE_SHARE * self.limit_bytes
 
     def account_changed(self, account: MemoryAccount, change_bytes: int) -> None:
         """Handle a change of a stream's account, or of any account under memory pressure."""
--- a/yewstage/net/client_request.py
+++ b/yewstage/net/client_request.py
@@ -44,6 +44,7 @@
         "headers",
         "body",
         "body_bytes",
+        "reserved_bytes",
         "method",
         "keep_alive",
         "has_duplicate_header",
@@ -64,6 +65,7 @@
         self.headers: dict[bytes, bytes] = {}
         self.body = bytearray()  # of a streamed body what is not forwarded yet
         self.body_bytes = 0  # received so far
+        self.reserved_bytes = 0  # of memory for its body, until it is streamed
         self.method = b""
         self.http_version = "1.1"
         self.keep_alive = True
@@ -79,6 +81,11 @@
         # When its last byte (of an upload, its head) arrived at this machine; of the monotonic clock.
         self.arrived_at_s = 0.0
 
+    def forget(self) -> None:
+        """Release what is not needed once the request is answered or rejected."""
+        self.url, self.headers, self.body, self.client_request = b"", {}, bytearray(), None
+        self.head_bytes = self.reserved_bytes = 0
+
     def add_header(self, name: bytes, value: bytes) -> None:
         """Note a header field by its name in lower case; the fields of a trailer are ignored."""
         self.head_bytes += len(name) + len(value)
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -10,12 +10,13 @@
 
 import httptools
 
+from yewstage.net.budget import SMALL_REQUEST_BYTES
 from yewstage.net.client_request import BadRequestError, RequestMessage, framing_header, parse_client_request
 from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES, limit_socket_buffer
 from yewstage.net.loop_monitor import STALL_THRESHOLD_S, ReadGap
 from yewstage.net.pool import Source
 from yewstage.net.receive_buffer import READ_BYTES, receive_buffer, received_bytes
-from yewstage.net.request_queue import RequestQueue, buffered_bytes
+from yewstage.net.request_queue import REQUEST_OVERHEAD_BYTES, RequestQueue, buffered_bytes
 from yewstage.net.socket_state import (
     has_hung_up,
     seconds_since_last_data,
@@ -41,7 +42,9 @@
 HEAD_READ_BYTES = 8 * 1024
 CHUNKED_READ_BYTES = 16 * 1024
 REQUESTS_PER_TURN = 8  # begun at once; the further ones of a connection wait for its next turn
-MAX_PIPELINED_BYTES = 64 * 1024  # queued before reading pauses; a client's end is seen only while reading
+# Heads and bodies, and requests, that are queued before reading pauses; a client's end is seen while reading.
+MAX_PIPELINED_BYTES = 64 * 1024
+MAX_PIPELINED_REQUESTS = 256
 SPARE_IDLE_TIMEOUT_S = 2.0  # a connection idle for longer is closed when a new client needs room
 SILENT_TIMEOUT_S = 0.5  # so is one without a request yet, once it has received nothing for so long
 # How long a client counts as there while its end may lie unread behind more bytes than these; with fewer, the
@@ -205,6 +208,17 @@
             self._withdraw_arrival()
         self._process_queue()
         self._request_account.set(self._buffered_request_bytes())
+        self._check_head_memory()
+
+    def _check_head_memory(self) -> None:
+        """Refuse a request that is too much for the memory left before its head is complete."""
+        message = self._message
+        if message is None or message.head_complete_at_s or self._is_closing:
+            return
+        if not self._core.budget.admits(self._head_bytes, more_bytes=0):
+            self._core.budget.refused_count += 1
+            self._fail_message(503)
+            self._process_queue()
 
     def _wait_for_turn(self) -> None:
         """Read and begin nothing more until all other connections had the chance to."""
@@ -278,7 +292,10 @@
         size = self._open_request_bytes + self._pending_requests.bytes
         if self._message is None or self._message.upload is not None:
             return size  # what is streamed is either queued or open
-        return size + buffered_bytes(self._message)
+        size += buffered_bytes(self._message)
+        if self._message.head_complete_at_s or self._is_closing:
+            return size
+        return size + max(self._head_bytes - self._message.head_bytes, 0)  # in the parser
 
     def _feed_parser(self, data: bytes) -> None:
         in_body = self._message is not None and self._message.head_complete_at_s
@@ -370,8 +387,10 @@
 
     def may_have_left_since(self, known_at_s: float) -> bool:
         """Whether the client may have left since then, its end behind bytes for which there is no room."""
-        known_at_s = max(known_at_s, self._drained_at_s)
-        if time.monotonic() - known_at_s <= PRESENCE_VALID_S:
+        now = time.monotonic()
+        if self._is_reading:  # nothing lies there for longer than the event loop took
+            known_at_s = now - self._core.loop_monitor.read_delay_s(now)
+        if now - max(known_at_s, self._drained_at_s) <= PRESENCE_VALID_S:
             return False
         return self._unread_bytes() > MAX_UNREAD_BEFORE_END_BYTES
 
@@ -416,6 +435,8 @@
         self._request_account.end()
         self._answer_account.end()
         self._release_open_request()
+        # These refer to the connection, and would keep it in memory until the next collection of cycles.
+        self._parser = self._message = self._current_request = None
 
     def _release_open_request(self) -> None:
         """Cancel the open request, if there is one, as abandoned by its client."""
@@ -433,7 +454,7 @@
             self.phase_started_at_s = self._listener.now()
 
     def on_url(self, url: bytes) -> None:
-        if not self._is_replaying_head:
+        if not self._is_replaying_head and not self._is_closing:
             self._message.url += url
             self._message.head_bytes += len(url)
 
@@ -475,12 +496,30 @@
             message.client_request = parse_client_request(message, self._listener.names)
         except BadRequestError:
             return 400
-        if (message.content_length or 0) <= MAX_BUFFERED_BODY_BYTES and not self._core.budget.admits(
-            message.content_length or 0
-        ):
+        length = message.content_length or 0
+        if length <= MAX_BUFFERED_BODY_BYTES and not self._reserve(message, length):
             return self._count_refusal(message)
         return 0
 
+    def _reserve(self, message: RequestMessage, body_bytes: int) -> bool:
+        """Reserve memory for a buffered body of this length; False if there is too little.
+
+        What is admitted can be received whole: memory that others have meanwhile taken is not counted twice.
+        """
+        more_bytes = REQUEST_OVERHEAD_BYTES + body_bytes - message.reserved_bytes
+        if not self._core.budget.admits(message.head_bytes + body_bytes, more_bytes):
+            return False
+        message.reserved_bytes = body_bytes
+        self._request_account.set(self._buffered_request_bytes())
+        return True
+
+    def _reserve_chunked(self, message: RequestMessage) -> bool:
+        """Reserve memory for what has come of a body of unknown length, and as much again."""
+        if message.body_bytes <= message.reserved_bytes:
+            return True
+        size = max(2 * message.body_bytes, SMALL_REQUEST_BYTES)
+        return self._reserve(message, min(size, MAX_BUFFERED_BODY_BYTES))
+
     def _count_refusal(self, message: RequestMessage) -> int:
         """Count a refusal for want of memory, before any byte is sent to a server; returns the status."""
         self._core.budget.refused_count += 1
@@ -532,8 +571,12 @@
             self._fail_message(400)
         else:
             message.body += data
-            if message.upload is None and message.body_bytes > MAX_BUFFERED_BODY_BYTES:
+            if message.upload is not None:
+                return
+            if message.body_bytes > MAX_BUFFERED_BODY_BYTES:
                 self._start_upload(message)
+            elif not self._reserve_chunked(message):
+                self._fail_message(self._count_refusal(message))
 
     def _take_streamed_body(self, message: RequestMessage) -> bytes:
         """Return what was received of a streamed body and is not forwarded yet.
@@ -577,6 +620,9 @@
         if not self._is_closing:
             self._is_closing = True
             self._pending_requests.append(status)
+            if self._message is not None:
+                self._message.forget()
+            self._request_account.set(self._buffered_request_bytes())
 
     def _fail_message(self, status: int) -> None:
         """Reject the message being received; if it is already being processed, end its request."""
@@ -637,12 +683,20 @@
                 self._start_request(self._pending_requests.popleft())
         finally:
             self._is_processing_queue = False
-        self._is_queue_full = (
-            len(self._pending_requests) > 0 and self._buffered_request_bytes() > MAX_PIPELINED_BYTES
-        )
+        self._is_queue_full = self._has_read_ahead_enough()
         self._update_reading()
         self._send_continue()
 
+    def _has_read_ahead_enough(self) -> bool:
+        """Whether no further request is to be received before those that wait."""
+        count = len(self._pending_requests)
+        if not count:
+            return False
+        if count >= MAX_PIPELINED_REQUESTS or self._core.budget.is_short():
+            return True
+        overhead_bytes = REQUEST_OVERHEAD_BYTES * (count + (self._message is not None))
+        return self._buffered_request_bytes() - overhead_bytes > MAX_PIPELINED_BYTES
+
     def _can_begin_request(self) -> bool:
         """Whether a request waits, and nothing before it is in its way."""
         return (
@@ -669,7 +723,7 @@
         client_request = item.client_request
         client_request.upload = item.upload
         if item.upload is None:
-            client_request.body, item.body = bytes(item.body), bytearray()
+            client_request.body, item.body = item.body, bytearray()
         client_request.head += framing_header(item)
         self._open_request_bytes = len(client_request.head) + len(client_request.body)
         request_id = self._core.request(self, client_request, item.arrived_at_s)
@@ -706,8 +760,10 @@
         self._is_delivering = True
         self._delivery_progressed_at_s = self._listener.now()
         self.phase_started_at_s = self._listener.now()
-        if self._current_request is not None and self._current_request.upload is not None:
-            self._current_request.upload.close()
+        if self._current_request is not None:
+            self._current_request.forget()
+            if self._current_request.upload is not None:
+                self._current_request.upload.close()
 
     def answer(
         self, status: int, body: bytes = b"", content_type: bytes = b"", retry_after_ms: float = 0.0
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -39,7 +39,9 @@
 
 log = logging.getLogger(__name__)
 
-UPSTREAM_SHARE = 0.3  # of the descriptors may be connections to servers
+# Part of the descriptors that may be connections to servers: more than the third that clients may hold for
+# their requests, so that long answers to all of them leave some to others.
+UPSTREAM_SHARE = 0.37
 # Part of the memory left to a fresh process that buffered bodies may take. Each of their bytes costs three to
 # four bytes of memory.
 BODY_MEMORY_SHARE = 0.2
@@ -106,7 +108,7 @@
     first_gateway: int  # index of the first of them
     is_retry: bool  # as marked by the client
     head: bytes  # request line and headers for the server, without X-Deadline
-    body: bytes
+    body: bytes | bytearray
     upload: Upload | None = None  # a body that is streamed, as it is too long to be buffered
     key: bytes = b""  # idempotency key, which a repeat of the request carries too
 
@@ -167,7 +169,7 @@
         self._gateway = Gateway(config.settings, config.seed)
         self.stats = Stats(c.name for c in config.settings.classes)
         self._max_server_connections = int(UPSTREAM_SHARE * config.sockets)
-        used_bytes = self.stats.process.memory_bytes()[1]
+        used_bytes = self.stats.process.memory_bytes()[0]
         self._body_budget_bytes = max(
             int(BODY_MEMORY_SHARE * (config.memory_mb * 2**20 - used_bytes)), MIN_BODY_BUDGET_BYTES
         )
--- a/yewstage/net/http1.py
+++ b/yewstage/net/http1.py
@@ -184,6 +184,7 @@
             self.use.closed()
         self.close_cause = self.close_cause or str(exc or "closed")
         self.lost()
+        self._parser = None  # which refers to the connection, and would keep it until a collection of cycles
 
     # httptools
 
--- a/yewstage/net/request_queue.py
+++ b/yewstage/net/request_queue.py
@@ -7,7 +7,7 @@
 from yewstage.net.client_request import RequestMessage
 
 # Memory that a waiting request takes beside the text of its head and its body.
-REQUEST_OVERHEAD_BYTES = 1024
+REQUEST_OVERHEAD_BYTES = 2 * 1024
 
 # A number is the status with which an invalid request is answered.
 QueuedRequest = RequestMessage | int
@@ -17,8 +17,8 @@
     """Bytes that a request holds; those of a streamed body are counted with its upload."""
     if isinstance(item, int):
         return REQUEST_OVERHEAD_BYTES
-    body_bytes = 0 if item.upload is not None else item.body_bytes
-    return REQUEST_OVERHEAD_BYTES + item.head_bytes + body_bytes
+    reserved_bytes = 0 if item.upload is not None else item.reserved_bytes
+    return REQUEST_OVERHEAD_BYTES + item.head_bytes + reserved_bytes
 
 
 class RequestQueue:
