Bound the customers whose use of their quota is kept

Cause: what a customer has used was kept for six windows of its plan (up to three minutes) whatever their number, a kilobyte each; a fast client makes a thousand names a second.

Change: settings.max_customers; above it a new name takes the place of one of those that were idle longest, if nothing of it is open and its ceiling is full again, else the request is refused ('customers').

--- a/yewstage/interface.py
+++ b/yewstage/interface.py
@@ -70,6 +70,7 @@
     tip_after_ms: float = 0.0  # ... when that lasts for so long
     handshake: float = 0.0  # cost of a new connection, in first attempts
     idle_ms: float = 15000.0  # servers close connections that are idle for so long
+    max_customers: int = 1_000_000  # whose use of their quota is kept; bounds the memory for it
     uses_claim_record: bool = False  # keyed requests are claimed on a shared record before they are sent
 
     def check(self) -> None:
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -46,6 +46,10 @@
 # four bytes of memory.
 BODY_MEMORY_SHARE = 0.2
 MIN_BODY_BUDGET_BYTES = 2 * 2**20
+# Part of that memory for what customers have used of their quotas, and what one of them takes.
+CUSTOMER_MEMORY_SHARE = 0.2
+CUSTOMER_BYTES = 1536
+MIN_CUSTOMERS = 1000
 TRANSIT_MS = 4.0  # allowance for the network time of a request and its answer
 GUARD_MARGIN_MS = 8.0  # the deadline guard answers this long before the client's deadline
 # The decision module gets a deadline this much earlier, so that it acts before the guard.
@@ -163,16 +167,15 @@
     """Feeds socket events to the decision module and carries out its actions."""
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
-        self.settings = config.settings
+        self.stats = Stats(c.name for c in config.settings.classes)
+        free_bytes = config.memory_mb * 2**20 - self.stats.process.memory_bytes()[0]
+        self._max_customers = max(int(CUSTOMER_MEMORY_SHARE * free_bytes) // CUSTOMER_BYTES, MIN_CUSTOMERS)
+        self.settings = dataclasses.replace(config.settings, max_customers=self._max_customers)
         self._loop = loop
         self._clock = Clock()
-        self._gateway = Gateway(config.settings, config.seed)
-        self.stats = Stats(c.name for c in config.settings.classes)
+        self._gateway = Gateway(self.settings, config.seed)
         self._max_server_connections = int(UPSTREAM_SHARE * config.sockets)
-        used_bytes = self.stats.process.memory_bytes()[0]
-        self._body_budget_bytes = max(
-            int(BODY_MEMORY_SHARE * (config.memory_mb * 2**20 - used_bytes)), MIN_BODY_BUDGET_BYTES
-        )
+        self._body_budget_bytes = max(int(BODY_MEMORY_SHARE * free_bytes), MIN_BODY_BUDGET_BYTES)
         self.budget = MemoryBudget(self._body_budget_bytes, loop.time)
         self.max_upload_bytes = config.max_upload_bytes
         uses = self.stats.descriptors.uses
@@ -260,7 +263,11 @@
 
     def reconfigure(self, config: Config) -> None:
         """Apply new settings, including new addresses of discovery and the counter."""
-        self.settings = dataclasses.replace(config.settings, uses_claim_record=self._claim_record is not None)
+        self.settings = dataclasses.replace(
+            config.settings,
+            uses_claim_record=self._claim_record is not None,
+            max_customers=self._max_customers,
+        )
         self.stats.add_classes(c.name for c in config.settings.classes)
         self._pool.set_timeouts(config.dial_timeout_ms, config.idle_limit_ms)
         self._max_server_connections = int(UPSTREAM_SHARE * config.sockets)
--- a/yewstage/net/stats.py
+++ b/yewstage/net/stats.py
@@ -11,7 +11,17 @@
 FULFILLED_STATUSES = frozenset((200,))
 THROTTLED_STATUSES = frozenset((429, 503))
 # Reasons of the policy's Refuse that are shown from 0 on; others are added when they first occur.
-REFUSAL_REASONS = ("quota", "ceiling", "pressed", "too late", "no host", "unservable", "gave up", "ending")
+REFUSAL_REASONS = (
+    "quota",
+    "ceiling",
+    "pressed",
+    "too late",
+    "no host",
+    "unservable",
+    "customers",
+    "gave up",
+    "ending",
+)
 DESCRIPTOR_USES = ("clients", "servers", "counter", "discovery", "ops")
 TRUNCATION_CAUSES = ("server", "client", "no_room", "answered")
 STATM_PATH = "/proc/self/statm"
--- a/yewstage/policy.py
+++ b/yewstage/policy.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import hashlib
+import itertools
 import math
 import random
 from collections import deque
@@ -45,6 +46,7 @@
 COUNTER_WEIGHT, THINNING_POWER = 0.35, 4  # EWMA weight of a reply; chance of a call: answer_share**power
 MIN_FOUND_SHARE = 0.5  # below it a gateway asks for the total without reserving
 PROBE_MS = 1000.0  # one counter call per interval is always made, to notice its recovery
+FORGET_CANDIDATES = 8  # customers that are looked at to drop one of them for a new one
 FORGET_AFTER_WINDOWS = 6.0  # a customer without requests for this many windows is dropped
 COUNT_TTL_MAX_MS = 60000.0
 SHARE_TTL_MS, SHARE_SPAN_MS = 3000.0, 1000.0  # life of a quota share; it is sized for the use in this span
@@ -489,9 +491,8 @@
         if request.id in self.open_requests or request.id in self.waiting_requests:
             return
         if cls is None or plan is None or request.time_left_ms <= 0 or not self.servers:
-            self.actions.append(
-                api.Refuse(request.id, reason="no host" if not self.servers else "unservable")
-            )
+            reason = "unservable" if self.servers else "no host"
+            self.actions.append(api.Refuse(request.id, reason=reason))
             return
         self.unit_latency.setdefault(cls.name, cls.objective_ms / 10)
         deadline_at = self.now + request.time_left_ms
@@ -500,17 +501,18 @@
             if cls.late_worth > 0
             else min(self.now + cls.objective_ms - self._time_spent_ms(request, cls), deadline_at)
         )
-        if objective_at <= self.now:
-            # The objective has passed: any work would be wasted.
+        if objective_at <= self.now:  # any work would be wasted
             self.actions.append(api.Refuse(request.id, reason="too late"))
             return
+        if request.customer not in self.customer_quotas and not self._make_room_for_customer():
+            self.actions.append(api.Refuse(request.id, reason="customers"))
+            return
         quota = self._quota_of(request, plan)
         # A request with little time left is decided at once: waiting for a total could outlast its deadline.
         if objective_at - self.now > self.settings.count_wait_ms + 2 * SWEEP_MS and self._needs_total(
             quota, request.units
         ):
-            # A call for a request that f sheds would only load the counter.
-            if not self._admit(cls, plan, request.units):
+            if not self._admit(cls, plan, request.units):  # a call would only load the counter
                 self._refuse(request, quota, "pressed")
                 return
             # The total that settles it arrives within a few milliseconds, so it is not refused at once.
@@ -725,10 +727,10 @@
         if quota is None or quota.plan is not plan:
             if quota is not None:
                 self._decide_waiting(quota)
-            quota = self.customer_quotas[request.customer] = _CustomerQuota(
-                plan, gateway_count, self.now, self.now - (self.started_at or 0.0)
-            )
+            quota = _CustomerQuota(plan, gateway_count, self.now, self.now - (self.started_at or 0.0))
             quota.ceiling_at = self.started_at or 0.0
+        self.customer_quotas.pop(request.customer, None)  # so that they are in the order of their last use
+        self.customer_quotas[request.customer] = quota
         quota.gateway_count, quota.seen_at = max(quota.gateway_count, gateway_count), self.now
         if plan.uses_quota_shares:
             quota.counter_name = quota_account_name(plan.name, request.customer)
@@ -1296,14 +1298,24 @@
         self.sweep_due = self.now + SWEEP_MS
         self.actions.append(api.Timer("sweep", SWEEP_MS))
 
-    def _can_forget(self, quota: _CustomerQuota) -> bool:
+    def _can_forget(self, quota: _CustomerQuota, windows: float = FORGET_AFTER_WINDOWS) -> bool:
         idle_ms, plan = self.now - quota.seen_at, quota.plan
         window_ms = self._window_ms(plan) if plan.rate > 0 else RATE_EWMA_MS
-        if quota.open_requests or quota.waiting or idle_ms < FORGET_AFTER_WINDOWS * window_ms:
+        if quota.open_requests or quota.waiting or idle_ms < windows * window_ms:
             return False
         # A dropped ceiling part would fill again from this process's start: only a full one is dropped.
         return plan.ceiling_rate <= 0 or idle_ms * plan.ceiling_rate >= 1000 * plan.ceiling_burst
 
+    def _make_room_for_customer(self) -> bool:
+        """Drop a customer that was idle for long if there are too many; False if none can be dropped."""
+        if len(self.customer_quotas) < self.settings.max_customers:
+            return True
+        for customer in list(itertools.islice(self.customer_quotas, FORGET_CANDIDATES)):
+            if self._can_forget(self.customer_quotas[customer], windows=0.0):
+                self.customer_by_counter.pop(self.customer_quotas.pop(customer).counter_name, None)
+                return True
+        return False
+
     def _log_limited(self, cause: str, text: str) -> None:
         if self.now - self.logged_at.get(cause, -1e9) >= 5000:
             self.logged_at[cause] = self.now
