Do not run a request again that may have run for a client that has left

Cause: nothing was kept of a request by its client's id. When its client left, the attempt went on or was cancelled after it had been written, and the same id on another connection was a new request. The next process of an upgrade knew nothing of what the old one had begun.

Coming again it is answered 409: failed, as a refusal would promise that it has not run. A request whose last byte was never written may come again. The state for the next process has the ids that are kept or open, and from then on both processes append what they begin to one file in the folder they share, so that the first one does (shared_ids.py).

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -17,6 +17,7 @@
 from yewstage.policy import Gateway, admission_ramp
 
 SOURCE = Path(policy.__file__)
+REQUEST_IDS = SOURCE.with_name("request_ids.py")
 
 
 # --- Admission ---
@@ -1026,6 +1027,16 @@
 # --- Source form ---
 
 
+def test_request_ids_are_decided_without_sockets_and_clocks() -> None:
+    imports = [node for node in ast.walk(ast.parse(REQUEST_IDS.read_text())) if isinstance(node, ast.Import)]
+    modules = {
+        node.module
+        for node in ast.walk(ast.parse(REQUEST_IDS.read_text()))
+        if isinstance(node, ast.ImportFrom)
+    }
+    assert not imports and modules == {"__future__", "collections.abc"}
+
+
 def test_source_form() -> None:
     lines = SOURCE.read_text().splitlines()
     assert sum(1 for line in lines if line.strip()) <= 1200
--- /dev/null
+++ b/tests/test_repeated_ids.py
@@ -0,0 +1,151 @@
+"""A request that may have run for a client that has left does not run again when it comes again."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+from pathlib import Path
+
+import pytest
+from conftest import GatewayRig, SeenMessage, message, reply, run_on_loop, serve
+from test_departed_clients import WAYS_TO_LEAVE, Leave, connect, held_up
+from test_upgrade import wait_until_ready
+
+from yewstage.net.core import REPEATED_ID_STATUS
+from yewstage.net.shared_ids import SharedRequestIds
+from yewstage.request_ids import RequestIds
+
+REPEATED = b"comes-again"
+LIMIT_S = 30.0
+
+
+def holds_repeated(seen: SeenMessage) -> bytes | None:
+    """Behaviour of a server that does not answer the repeated request."""
+    return None if seen.headers["x-request-id"] == REPEATED.decode() else reply(b"served")
+
+
+def request(cls: str, **changes: object) -> bytes:
+    return message(cls, rid=REPEATED, key=cls == "put", **changes)
+
+
+async def runs(rig: GatewayRig) -> int:
+    """How often servers got the repeated request, after some others have passed."""
+    for number in range(5):
+        assert await rig.status(message(rid=b"after-%d" % number)) == 200
+    return sum(seen.headers["x-request-id"] == REPEATED.decode() for host in rig.hosts for seen in host.seen)
+
+
+# Guards against: a request ran twice when its client left and sent it again on a new connection.
+@pytest.mark.parametrize("cls", ["put", "pay"])
+@pytest.mark.parametrize("is_held_up", [False, True], ids=["running", "held up"])
+@pytest.mark.parametrize("leave", WAYS_TO_LEAVE)
+def test_a_request_that_comes_again_after_its_client_left_runs_once(
+    tmp_path: Path, leave: Leave, is_held_up: bool, cls: str
+) -> None:
+    async def scenario() -> None:
+        async with GatewayRig(tmp_path, holds_repeated) as rig:
+            client = connect(rig)
+            client.sendall(request(cls))
+            await rig.hosts[0].wait_until(lambda fake: bool(fake.seen))
+            async with held_up(rig) if is_held_up else contextlib.nullcontext():
+                leave(client)
+                again = connect(rig)
+                again.sendall(request(cls))
+            status = (await asyncio.to_thread(again.recv, 100)).split()[1]
+            assert int(status) == REPEATED_ID_STATUS
+            assert await rig.status(request(cls)) == REPEATED_ID_STATUS  # also after the first has ended
+            assert await runs(rig) == 1
+            for sock in (client, again):
+                sock.close()
+
+    run_on_loop(scenario, LIMIT_S)
+
+
+def test_a_request_that_has_not_run_may_come_again(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with GatewayRig(tmp_path, serve) as rig:
+            body = b"x" * 200_000
+            client = connect(rig)
+            client.sendall(request("pay", body=body)[: -len(body) // 2])
+            while not (await rig.metrics())["gateway_streams_open"]:
+                await asyncio.sleep(0.01)
+            client.close()
+            assert await rig.status(request("pay", body=body)) == 200
+
+    run_on_loop(scenario, LIMIT_S)
+
+
+def test_a_safe_request_may_come_again(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with GatewayRig(tmp_path, holds_repeated) as rig:
+            with connect(rig) as client:
+                client.sendall(request("read"))
+                await rig.hosts[0].wait_until(lambda fake: bool(fake.seen))
+            rig.hosts[0].behave = serve
+            assert await rig.status(request("read")) == 200
+
+    run_on_loop(scenario, LIMIT_S)
+
+
+# Guards against: a request ran twice when it came again at the other process of an upgrade.
+@pytest.mark.parametrize("cls", ["put", "pay"])
+@pytest.mark.parametrize("leaves_before_handover", [True, False])
+def test_a_request_that_comes_again_at_the_next_process_runs_once(
+    tmp_path: Path, cls: str, leaves_before_handover: bool
+) -> None:
+    async def scenario() -> None:
+        async with GatewayRig(tmp_path, holds_repeated).hold() as rig:
+            old = rig.process
+            client = connect(rig)
+            client.sendall(request(cls))
+            await rig.hosts[0].wait_until(lambda fake: bool(fake.seen))
+            if leaves_before_handover:
+                client.close()
+                await rig.wait_for_log(REPEATED.decode())
+            await rig.spawn()
+            await wait_until_ready(rig)
+            old.send_signal(signal.SIGTERM)
+            await rig.wait_for_log("taking over")
+            client.close()
+            assert await rig.status(request(cls)) == REPEATED_ID_STATUS
+            assert await runs(rig) == 1
+
+    run_on_loop(scenario, LIMIT_S)
+
+
+# Guards against: what the old process begins after the handover is unknown to the next one, and the reverse.
+def test_of_two_processes_that_begin_an_id_the_first_one_does(tmp_path: Path) -> None:
+    old, new = SharedRequestIds(tmp_path), SharedRequestIds(tmp_path)
+    old._own, new._own = b"1", b"2"  # as the identifiers of two processes
+    assert old.claim("before sharing") and not old.is_shared()
+    old.create()
+    new.open()
+    assert old.claim("a") and not new.claim("a") and old.claim("a")
+    assert new.claim("b") and not old.claim("b")
+    for number in range(100):
+        first, second = (old, new) if number % 3 else (new, old)
+        assert first.claim(f"id-{number}") and not second.claim(f"id-{number}")
+    new.close()
+    assert not list(tmp_path.iterdir())
+    old.create()  # a file of an earlier upgrade counts for nothing
+    assert old.claim("b")
+
+
+def test_without_a_folder_a_process_begins_requests_alone(tmp_path: Path) -> None:
+    shared_ids = SharedRequestIds(tmp_path / "missing")
+    shared_ids.create()
+    assert not shared_ids.is_shared() and shared_ids.claim("a")
+    shared_ids.close()
+
+
+def test_ids_are_kept_for_a_time_and_up_to_a_number() -> None:
+    ids = RequestIds(retention_s=10.0, max_kept=3)
+    ids.keep(["a", "b"], now_s=0.0)
+    assert not ids.may_begin("a", 9.9) and ids.may_begin("a", 10.0) and ids.may_begin("c", 0.0)
+    ids.keep(["a"], now_s=5.0)
+    assert ids.ids() == ["b", "a"] and not ids.may_begin("a", 14.9)
+    ids.keep(["c", "d"], now_s=6.0)
+    assert ids.ids() == ["a", "c", "d"]  # the oldest went first
+    ids.keep([], now_s=15.5)
+    assert ids.ids() == ["c", "d"]
--- a/yewstage/net/attempts.py
+++ b/yewstage/net/attempts.py
@@ -85,6 +85,7 @@
         "attempt_runner",
         "is_waiting",
         "may_have_sent",
+        "is_sent",
         "is_streaming",
         "start_by",
         "arrived_at",
@@ -120,6 +121,7 @@
         self.wait_timer: asyncio.TimerHandle | None = None
         # is_waiting: for a link. may_have_sent: bytes may have left this process.
         self.is_waiting = self.may_have_sent = False
+        self.is_sent = False  # its last byte was written
         self.is_done = self.is_streaming = False  # is_streaming: the answer is being streamed to the client
         # For the log: when the request arrived at this machine and when the first byte of the attempt was
         # written (None: never), from which port; how long the link had been idle (None: a new connection),
@@ -167,6 +169,12 @@
         arrived_at = self.upload.arrived_at_s
         return None if arrived_at is None else max(arrived_at, self.begun_at)
 
+    def may_have_run(self) -> bool:
+        """Whether its server may have run it, or may yet."""
+        if not self.is_done:
+            return self.may_have_sent
+        return self.is_sent and self.result not in api.NEVER_RAN
+
     def is_sending_body(self) -> bool:
         """Whether a part of its streamed body is not written yet, so that the request cannot have run."""
         return self.upload is not None and self.link is not None and self.link.has_unsent_data
@@ -321,6 +329,7 @@
 
     def on_sent(self, attempt: Attempt) -> None:
         """Called when the last byte of an attempt was written. The server's latency is measured from here."""
+        attempt.is_sent = True
         if attempt.upload is not None and not attempt.is_streaming:
             attempt.sent_at = time.monotonic()
         self._owner.on_sent(attempt)
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -58,6 +58,7 @@
     400: b"Bad Request",
     404: b"Not Found",
     408: b"Request Timeout",
+    409: b"Conflict",
     413: b"Content Too Large",
     500: b"Internal Server Error",
     502: b"Bad Gateway",
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -31,10 +31,12 @@
 from yewstage.net.stats import THROTTLED_STATUSES, DescriptorUse, Stats
 from yewstage.net.upload import Upload
 from yewstage.policy import Gateway
+from yewstage.request_ids import RequestIds
 
 if TYPE_CHECKING:
     from yewstage.net.claim_record import ClaimRecord, KeyClaim
     from yewstage.net.holding_client import HoldingClient
+    from yewstage.net.shared_ids import SharedRequestIds
     from yewstage.net.shares import Shares
 
 log = logging.getLogger(__name__)
@@ -50,6 +52,10 @@
 CUSTOMER_MEMORY_SHARE = 0.2
 CUSTOMER_BYTES = 1536
 MIN_CUSTOMERS = 1000
+# For how long, and for how many requests, an id does not run again: longer than clients wait for an answer.
+REQUEST_ID_RETENTION_S = 60.0
+MAX_REQUEST_IDS = 4096
+REPEATED_ID_STATUS = 409  # failed: it does not promise that the request has no effect
 TRANSIT_MS = 4.0  # allowance for the network time of a request and its answer
 GUARD_MARGIN_MS = 8.0  # the deadline guard answers this long before the client's deadline
 # The decision module gets a deadline this much earlier, so that it acts before the guard.
@@ -132,6 +138,7 @@
         "is_received",
         "streaming_attempt",
         "max_attempts",
+        "has_left",
     )
 
     def __init__(
@@ -154,9 +161,14 @@
         self.guard_timer: asyncio.TimerHandle | None = None
         self.attempts: list[Attempt | None] = []  # None: a Send that was not carried out
         self.running_attempts = 0
+        self.has_left = False  # its client did, before it had its answer
         self.is_received = False  # the last byte has arrived, so the request counts as open
         self.streaming_attempt: Attempt | None = None  # whose answer is being streamed to the client
 
+    def may_have_run(self) -> bool:
+        """Whether an attempt may have run, or may yet."""
+        return any(attempt is not None and attempt.may_have_run() for attempt in self.attempts)
+
     def arrived_at(self) -> float | None:
         """When its last byte arrived, by the monotonic clock; None while it has not."""
         upload = self.client_request.upload
@@ -212,6 +224,9 @@
         self._shares: Shares | None = None  # created with the first request for a share
         self._initial_listing = config.fallback_listing
         self._requests: dict[str, _OpenRequest] = {}
+        self._open_ids: dict[str, _OpenRequest] = {}  # requests with an effect by their clients' ids
+        self._request_ids = RequestIds(REQUEST_ID_RETENTION_S, MAX_REQUEST_IDS)
+        self._shared_ids: SharedRequestIds | None = None  # None: no other process can serve beside this one
         self._claims: dict[str, KeyClaim] = {}  # by request id; empty without a claim record
         self._unanswered = 0  # complete requests without an answer
         self._request_count = 0
@@ -284,17 +299,32 @@
         self._pool.set_max_links(self._max_server_connections // (2 if shared else 1))
         self.budget.set_limit(self._body_budget_bytes // (2 if shared else 1))
 
+    def share_request_ids(self, shared_ids: SharedRequestIds) -> None:
+        """Use this for the request ids that the other process of an upgrade begins."""
+        self._shared_ids = shared_ids
+
     def hand_over(self) -> dict[str, object]:
-        """State of the decision module for the next process, which owns it from now on."""
-        return self._gateway.hand_over()
+        """State of the decision module for the next process, which owns it from now on.
+
+        This process goes on with the connections that it has, so both tell each other what they begin.
+        """
+        if self._shared_ids is not None:
+            self._shared_ids.create()
+        return {**self._gateway.hand_over(), "request_ids": [*self._request_ids.ids(), *self._open_ids]}
 
     def take_over(self, state: dict[str, object] | None) -> None:
         """Continue from the state of the previous process; None if it left none."""
+        if self._shared_ids is not None and state is not None:
+            self._shared_ids.open()
+            ids = state.get("request_ids", ())  # an earlier version has none
+            self._request_ids.keep((i for i in ids if isinstance(i, str)), time.monotonic())
         self._post(api.TakenOver(state))
 
     def predecessor_exited(self) -> None:
         """Called when the previous process has exited: its descriptors and memory are free."""
         self.share_descriptors(False)
+        if self._shared_ids is not None:
+            self._shared_ids.close()
         self._post(api.PredecessorGone())
 
     def stop(self) -> None:
@@ -394,6 +424,9 @@
             retry_after_ms = self.settings.max_retry_after_ms * self.settings.retry_after
             self._answer(request, 503, retry_after_ms=retry_after_ms, why="ending")
             return request_id
+        if client_request.cls.effect != "safe" and not self._open_id(request, now):
+            self._answer(request, REPEATED_ID_STATUS, why="id runs already")
+            return request_id
         self._restart_deadline(request)
         self._post(
             api.Request(
@@ -412,6 +445,32 @@
         )
         return request_id
 
+    def _open_id(self, request: _OpenRequest, now: float) -> bool:
+        """Begin a request by its client's id.
+
+        False if one with this id may have run for a client that has left, or runs in the other process of an
+        upgrade.
+        """
+        client_id = request.client_request.client_id
+        earlier = self._open_ids.get(client_id)
+        if earlier is not None and self._runs_without_client(earlier):
+            return False
+        if not self._request_ids.may_begin(client_id, now):
+            return False
+        if self._shared_ids is not None and not self._shared_ids.claim(client_id):
+            return False
+        self._open_ids[client_id] = request
+        return True
+
+    def _runs_without_client(self, request: _OpenRequest) -> bool:
+        """Whether a request may run whose client has left, or may have left."""
+        client = request.client
+        if client is not None and client.has_disconnected():
+            self.client_disconnected(request.id, "client left, seen as it came again")
+        if request.client is None:
+            return request.has_left and request.may_have_run()
+        return client.may_have_left_since(request.received_at)
+
     def body_arrived(self, request_id: str) -> None:
         """Called when it becomes known that the last byte of a streamed body has arrived, or that it has not.
 
@@ -452,6 +511,7 @@
                 for a in request.attempts
                 if a is not None and (a is request.streaming_attempt or a.upload is not None)
             ]
+            request.has_left = True
             self._close_request(request)
             _log_unserved_request(request, 0, why)
             self._post(api.ClientLeft(request_id))
@@ -497,6 +557,9 @@
             client.answer(status, retry_after_ms=retry_after_ms)
         else:
             client.answer(status, reply.body, reply.headers.get(b"content-type", b""))
+        if request.client_request.cls.effect != "safe" and client.has_disconnected():
+            request.has_left = True  # without its answer
+            self._keep_id(request)
 
     def _close_request(self, request: _OpenRequest) -> None:
         request.client = None
@@ -513,6 +576,18 @@
     def _remove_if_ended(self, request: _OpenRequest) -> None:
         if request.client is None and not request.running_attempts:
             self._requests.pop(request.id, None)
+            self._close_id(request)
+
+    def _close_id(self, request: _OpenRequest) -> None:
+        client_id = request.client_request.client_id
+        if self._open_ids.get(client_id) is request:
+            del self._open_ids[client_id]
+            self._keep_id(request)
+
+    def _keep_id(self, request: _OpenRequest) -> None:
+        """Keep the id of a request that may have run for a client that has left."""
+        if request.has_left and request.client_request.cls.effect != "safe" and request.may_have_run():
+            self._request_ids.keep((request.client_request.client_id,), time.monotonic())
 
     # --- Servers ------------------------------------------------------------------------------------------
 
