Ask whether a client has left before its answer is written, not after

Seen once beside other tests in test_bodies_in_one_byte_writes: a second request under an id whose first one had been answered got 409. The client was asked for after its answer had been written, and by then it may have read it and closed. It is asked for before, without releasing its connection.

--- a/tests/scripted_core.py
+++ b/tests/scripted_core.py
@@ -44,6 +44,9 @@
         self.statuses: asyncio.Queue[int] = asyncio.Queue()
         self.has_left = False
 
+    def has_hung_up(self) -> bool:
+        return self.has_left
+
     def has_disconnected(self) -> bool:
         return self.has_left
 
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -372,6 +372,10 @@
         else:
             self._release_open_request()
 
+    def has_hung_up(self) -> bool:
+        """Whether the client has closed the connection or ended its sending, by asking the system."""
+        return self.transport.is_closing() or has_hung_up(self._fileno())
+
     def has_disconnected(self) -> bool:
         """Whether the client has closed the connection or ended its sending, by asking the system.
 
@@ -381,7 +385,7 @@
         """
         if self.transport.is_closing():
             return True
-        is_hung_up = has_hung_up(self._fileno())
+        is_hung_up = self.has_hung_up()
         if is_hung_up:
             self._release_requests()
         return is_hung_up
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -77,9 +77,12 @@
 class Client(Protocol):
     """Receives the answer to one request."""
 
-    def has_disconnected(self) -> bool:
+    def has_hung_up(self) -> bool:
         """Whether the client closed its connection or ended its sending, even if that is not read yet."""
 
+    def has_disconnected(self) -> bool:
+        """The same; one that has is released: nothing more is begun for it."""
+
     def may_have_left_since(self, known_at_s: float) -> bool:
         """Whether its end may lie behind bytes that are not read yet.
 
@@ -548,6 +551,8 @@
         if request is None or request.client is None or request.streaming_attempt is not None:
             return
         client = request.client
+        # Without its answer: asked for before it is written, as afterwards a client that has it may close.
+        request.has_left = request.client_request.cls.effect != "safe" and client.has_hung_up()
         self._close_request(request)
         self.stats.count_answer(request.client_request.cls.name, status)
         if reply is None:
@@ -557,9 +562,6 @@
             client.answer(status, retry_after_ms=retry_after_ms)
         else:
             client.answer(status, reply.body, reply.headers.get(b"content-type", b""))
-        if request.client_request.cls.effect != "safe" and client.has_disconnected():
-            request.has_left = True  # without its answer
-            self._keep_id(request)
 
     def _close_request(self, request: _OpenRequest) -> None:
         request.client = None
