Give server connections with more to read their turns, too

A server that answers in chunks of one byte made the process parse up to 2 MB of them at once for each connection.

Change: a server connection whose read filled its buffer waits for its turn; answers in chunks are read 16 KiB at a time.

--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -16,6 +16,7 @@
 from test_streams import FullTransport
 
 from yewstage import interface as api
+from yewstage.net import pool as pool_module
 from yewstage.net.client_listener import ClientListener
 from yewstage.net.client_request import RequestMessage
 from yewstage.net.clients import (
@@ -26,6 +27,7 @@
     REQUESTS_PER_TURN,
     ClientConnection,
 )
+from yewstage.net.pool import Link, Pool
 from yewstage.net.receive_buffer import READ_BYTES
 from yewstage.net.request_queue import REQUEST_OVERHEAD_BYTES, RequestQueue
 from yewstage.net.turns import TURNS_PER_ITERATION, TurnQueue
@@ -106,6 +108,44 @@
     assert after.taken == 1
 
 
+class ReadingTransport:
+    """A server connection's transport that notes whether it is read."""
+
+    def __init__(self) -> None:
+        self.is_read = True
+
+    def is_closing(self) -> bool:
+        return False
+
+    def pause_reading(self) -> None:
+        self.is_read = False
+
+    def resume_reading(self) -> None:
+        self.is_read = True
+
+
+# Guards against: an answer in very short chunks was parsed without a break while others waited.
+def test_a_server_connection_with_more_to_read_waits_for_its_turn() -> None:
+    async def scenario() -> None:
+        pool = Pool(asyncio.get_running_loop(), 8, 250, 15000, observer=None)
+        link, transport = Link(pool, server=None), ReadingTransport()
+        link.transport, link.exchange = transport, object()
+        size = len(link.get_buffer(-1))
+        link.data_received((b"HTTP/1.1 200 OK\r\nA: " + b"x" * size)[:size])
+        assert not transport.is_read
+        link.pause(True)  # its client reads slowly
+        await asyncio.sleep(0)
+        assert not transport.is_read
+        link.pause(False)
+        assert transport.is_read
+        link.data_received(b"x")
+        assert transport.is_read  # nothing is left
+        link._headers = {b"transfer-encoding": b"chunked"}
+        assert len(link.get_buffer(-1)) == pool_module.CHUNKED_READ_BYTES
+
+    run_on_loop(scenario)
+
+
 # Guards against: all requests of one read were begun at once, whatever that took.
 def test_a_connection_begins_a_few_requests_in_a_turn(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario() -> None:
--- a/yewstage/net/pool.py
+++ b/yewstage/net/pool.py
@@ -28,6 +28,7 @@
 )
 from yewstage.net.socket_state import discard_on_close, undelivered_bytes
 from yewstage.net.stats import DescriptorUse
+from yewstage.net.turns import TurnQueue
 from yewstage.net.upload import Upload
 
 # An idle link is closed after a random part, in this range, of the server's idle limit.
@@ -42,6 +43,7 @@
 LONGEST_OUTAGE_S = 6.0
 ANSWER_STALL_S = 2 * LONGEST_OUTAGE_S + 2 * SWEEP_INTERVAL_S  # without progress for so long it is given up
 BODY_STALL_S = 5.0  # so is a body that its server does not take, whose client waits for its answer
+CHUNKED_READ_BYTES = 16 * 1024  # one read of an answer in chunks, as each of them takes time to parse
 # Results of dials and reasons of closes, as labels of the metrics.
 UP, FAILED, TIMED_OUT, DIAL_NO_DESCRIPTOR, CANCELLED = (
     "up",
@@ -227,6 +229,7 @@
     ) -> None:
         self.loop, self.observer, self.clock_ms = loop, observer, clock_ms
         self.budget = budget or MemoryBudget(2**30, loop.time)
+        self.turns = TurnQueue(loop.call_soon)  # of links that have more to read
         self._descriptor_use, self._rng = descriptor_use or DescriptorUse(), rng or random.Random()
         # Limit on links and dials of one server.
         self._max_links_to = max_links_to or (lambda name: max_links)
@@ -544,6 +547,9 @@
         self._stream: Stream | None = None  # reader of the answer, if it is streamed
         self._unpassed: list[bytes] = []  # parts of the streamed body in the present read
         self._is_paused = False  # because the client reads slowly
+        self._is_waiting_for_turn = False
+        self._is_reading = True  # as the transport was told last
+        self._max_read_bytes = 0  # of the latest read
         self._hold_timer: asyncio.TimerHandle | None = None
         # Of a streamed body: reads and bytes that the server has not acknowledged, and when either changed.
         self._progress, self._progress_at = (0, 0), 0.0
@@ -600,7 +606,10 @@
         self._pool.on_opened(self)
 
     def max_read_bytes(self) -> int:
-        return self._pool.budget.read_bytes()
+        self._max_read_bytes = self._pool.budget.read_bytes()
+        if b"transfer-encoding" in self._headers:
+            self._max_read_bytes = min(self._max_read_bytes, CHUNKED_READ_BYTES)
+        return self._max_read_bytes
 
     def data_received(self, data: bytes) -> None:
         """Parse what was read, and pass it on at once if the answer is streamed."""
@@ -625,6 +634,21 @@
             self._hold_timer = self._pool.loop.call_later(hold_s, self._on_hold_timeout)
         self._deliver_reply()
         self._memory_account.set(0 if self._stream is not None else self._size)
+        if len(data) == self._max_read_bytes and not self._is_waiting_for_turn:
+            self._is_waiting_for_turn = True
+            self._pool.turns.add(self)
+            self._update_reading()
+
+    def take_turn(self) -> None:
+        """Read on after all other connections had the chance to."""
+        self._is_waiting_for_turn = False
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        should_read = not self._is_paused and not self._is_waiting_for_turn
+        if should_read != self._is_reading and not self.transport.is_closing():
+            self._is_reading = should_read
+            (self.transport.resume_reading if should_read else self.transport.pause_reading)()
 
     def _deliver_reply(self) -> None:
         """Deliver a complete answer after all data that was read together with it is parsed.
@@ -711,7 +735,7 @@
             return
         self._is_paused = paused
         self._progress_at = self._pool.loop.time()
-        (self.transport.pause_reading if paused else self.transport.resume_reading)()
+        self._update_reading()
 
     def _cancel_hold(self) -> None:
         self.pause(False)
