Give the delivery of answers a module of its own, and count queued requests

net/clients.py had grown; what is known of an answer on its way is one job without sockets. No behaviour changes.

--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -15,6 +15,7 @@
 from yewstage.net.budget import STALL_TIMEOUT_S
 from yewstage.net.client_listener import ClientListener
 from yewstage.net.clients import ClientConnection
+from yewstage.net.delivery import STALL_TIMEOUT_S as DELIVERY_STALL_TIMEOUT_S
 from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES
 
 SOCKETS = 128
@@ -144,7 +145,7 @@
         clock = [listener.now()]
         monkeypatch.setattr(listener, "now", lambda: clock[0])
         for _ in range(3):
-            clock[0] += clients_module.DELIVERY_STALL_TIMEOUT_S / 2
+            clock[0] += DELIVERY_STALL_TIMEOUT_S / 2
             connection.check_timeouts(clock[0])
         clock[0] += clients_module.SPARE_IDLE_TIMEOUT_S
         assert connection.is_evictable(clock[0])
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -226,6 +226,6 @@
     assert queue.only() is None and queue.popleft() is messages[0]
     queue.discard(messages[4])
     queue.discard(messages[4])
-    assert len(queue) == 9 and queue.bytes == total - 2 * REQUEST_OVERHEAD_BYTES - 3 * 4
+    assert queue.count == 9 and queue.bytes == total - 2 * REQUEST_OVERHEAD_BYTES - 3 * 4
     assert queue.drain() == [*messages[1:4], *messages[5:], 400]
-    assert not queue.bytes and not queue
+    assert not queue.bytes and not queue.count
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -12,6 +12,7 @@
 
 from yewstage.net.budget import SMALL_REQUEST_BYTES
 from yewstage.net.client_request import BadRequestError, RequestMessage, framing_header, parse_client_request
+from yewstage.net.delivery import Delivery
 from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES, limit_socket_buffer
 from yewstage.net.loop_monitor import STALL_THRESHOLD_S, ReadGap
 from yewstage.net.pool import Source
@@ -36,7 +37,6 @@
 RETRY_AFTER_MS = 1000.0  # Retry-After of a request refused for want of memory, and of a readiness check
 BODY_DRAIN_TIMEOUT_S = 5.0  # for reading the rest of a body whose request is already answered
 ANSWER_READ_TIMEOUT_S = 30.0  # a client that reads nothing of its answer for longer is disconnected
-DELIVERY_STALL_TIMEOUT_S = 10.0  # an answered client that takes nothing for longer counts as idle
 IDLE_TIMEOUT_S = 75.0  # for an idle connection while there is room for others
 # One read while heads are received, and of a body in chunks, as each of their parts takes time to parse.
 HEAD_READ_BYTES = 8 * 1024
@@ -99,9 +99,7 @@
         "_is_budget_paused",
         "_is_flushing",
         "_close_timer",
-        "_is_delivering",
-        "_undelivered_bytes",
-        "_delivery_progressed_at_s",
+        "_delivery",
         "_request_account",
         "_answer_account",
         "_open_request_bytes",
@@ -141,9 +139,7 @@
         # The memory budget pauses the streamed answer; a complete answer is not yet written in full.
         self._is_budget_paused = self._is_flushing = False
         self._close_timer: asyncio.TimerHandle | None = None  # after the last answer
-        self._is_delivering = False  # the client's machine may lack a part of an answer
-        self._undelivered_bytes = 0  # of that answer, as seen last
-        self._delivery_progressed_at_s = 0.0  # when their number changed last
+        self._delivery = Delivery()
         self._request_account = listener.core.budget.open_account("requests")
         self._answer_account = listener.core.budget.open_account("answers")
         self._open_request_bytes = 0  # head and body of the request being processed
@@ -202,19 +198,20 @@
                 self._read_gap.end()
         message = self._message
         self._feed_parser(data)
-        self._forward_body()
+        if self._open_uploads:
+            self._forward_body()
         if loop_arrival_s - self._read_arrived_at_s > STALL_THRESHOLD_S:
             self._refine_arrival(message, now, loop_arrival_s)
         if self._open_uploads:
             self._withdraw_arrival()
         self._process_queue()
         self._request_account.set(self._buffered_request_bytes())
-        self._check_head_memory()
+        if self._message is not None:
+            self._check_head_memory()
 
     def _check_head_memory(self) -> None:
         """Refuse a request that is too much for the memory left before its head is complete."""
-        message = self._message
-        if message is None or message.head_complete_at_s or self._is_closing:
+        if self._message.head_complete_at_s or self._is_closing:
             return
         if not self._core.budget.admits(self._head_bytes, more_bytes=0):
             self._core.budget.refused_count += 1
@@ -245,7 +242,7 @@
         """
         if self._message is not None:
             return
-        if not self._pending_requests and continued is not None and continued is self._current_request:
+        if not self._pending_requests.count and continued is not None and continued is self._current_request:
             request = continued
         elif not self._is_answer_due:
             request = self._pending_requests.only()
@@ -515,7 +512,8 @@
         if not self._core.budget.admits(message.head_bytes + body_bytes, more_bytes):
             return False
         message.reserved_bytes = body_bytes
-        self._request_account.set(self._buffered_request_bytes())
+        if body_bytes or self._pending_requests.count:  # else it is counted at the end of the read
+            self._request_account.set(self._buffered_request_bytes())
         return True
 
     def _reserve_chunked(self, message: RequestMessage) -> bool:
@@ -539,7 +537,7 @@
             and message.awaits_continue
             and message.upload is None
             and not self._is_answer_due
-            and not self._pending_requests
+            and not self._pending_requests.count
         ):
             message.awaits_continue = False
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -694,7 +692,7 @@
 
     def _has_read_ahead_enough(self) -> bool:
         """Whether no further request is to be received before those that wait."""
-        count = len(self._pending_requests)
+        count = self._pending_requests.count
         if not count:
             return False
         if count >= MAX_PIPELINED_REQUESTS or self._core.budget.is_short():
@@ -705,7 +703,7 @@
     def _can_begin_request(self) -> bool:
         """Whether a request waits, and nothing before it is in its way."""
         return (
-            len(self._pending_requests) > 0
+            self._pending_requests.count > 0
             and not self._is_answer_due
             and not self._is_waiting_for_turn
             and self._write_blocked_at_s is None
@@ -740,7 +738,7 @@
 
     def _answer_and_close(self, status: int) -> None:
         """Answer a readiness check or an invalid request; close if nothing follows it, to make room."""
-        self._is_closing = self._is_closing or (self._message is None and not self._pending_requests)
+        self._is_closing = self._is_closing or (self._message is None and not self._pending_requests.count)
         self.answer(status, retry_after_ms=RETRY_AFTER_MS if status == 503 else 0.0)
 
     def _should_keep_alive(self) -> bool:
@@ -749,7 +747,7 @@
             self._current_request.keep_alive and self._current_request.is_complete
         ):
             return False
-        return bool(self._pending_requests) or not (
+        return self._pending_requests.count > 0 or not (
             self._is_closing or self._core.is_draining or self._listener.is_crowded()
         )
 
@@ -762,9 +760,9 @@
         )
         self._request_account.set(self._buffered_request_bytes())
         self.answered_count += 1
-        self._is_delivering = True
-        self._delivery_progressed_at_s = self._listener.now()
-        self.phase_started_at_s = self._listener.now()
+        now = self._listener.now()
+        self._delivery.begin(now)
+        self.phase_started_at_s = now
         if self._current_request is not None:
             self._current_request.forget()
             if self._current_request.upload is not None:
@@ -811,7 +809,7 @@
             parts.append(b"Content-Type: %b\r\n" % content_type)
         parts.append(b"\r\n" if self._keeps_alive else b"Connection: close\r\n\r\n")
         limit_socket_buffer(self.transport, socket.SO_SNDBUF)
-        self._is_delivering = True
+        self._delivery.begin(self._listener.now())
         self._answer_account.begin(self._pause_for_budget, self._evict)
         self._write(b"".join(parts))
         self._update_source_flow()
@@ -909,15 +907,13 @@
         An exchange ends with the last byte of its answer at the client, so the time for which the connection
         is idle counts from then.
         """
-        if not self._is_delivering or self.transport.is_closing():
+        if not self._delivery.is_under_way or self.transport.is_closing():
             return False
-        undelivered = undelivered_bytes(self.transport)
         now = self._listener.now()
-        if undelivered != self._undelivered_bytes:
-            self._undelivered_bytes, self._delivery_progressed_at_s = undelivered, now
+        is_complete = self._answer_source is None
+        if self._delivery.update(undelivered_bytes(self.transport), is_complete, now):
             self._answer_account.note_progress()
-        self._is_delivering = undelivered > 0 or self._answer_source is not None
-        if not undelivered or now - self._delivery_progressed_at_s > DELIVERY_STALL_TIMEOUT_S:
+        if not self._delivery.goes_on(now):
             return False
         if self._message is None:
             self.phase_started_at_s = now
@@ -979,7 +975,7 @@
 
     def is_idle(self) -> bool:
         """Whether no request is being received, queued or processed."""
-        return not self._is_answer_due and self._message is None and not self._pending_requests
+        return not self._is_answer_due and self._message is None and not self._pending_requests.count
 
     def is_evictable(self, now: float) -> bool:
         """Whether the connection may be closed for a new client: idle, or without a request for too long."""
--- a/yewstage/net/request_queue.py
+++ b/yewstage/net/request_queue.py
@@ -22,38 +22,38 @@
 
 
 class RequestQueue:
-    """First in, first out, with the number of bytes that the requests hold."""
+    """First in, first out, with the number of requests and of the bytes that they hold."""
 
-    __slots__ = ("_items", "bytes")
+    __slots__ = ("_items", "count", "bytes")
 
     def __init__(self) -> None:
         self._items: deque[tuple[QueuedRequest, int]] = deque()
-        self.bytes = 0
-
-    def __len__(self) -> int:
-        return len(self._items)
+        self.count = self.bytes = 0
 
     def append(self, item: QueuedRequest) -> None:
         """Append a request. What it holds must not change from now on, but for a streamed body."""
         size = buffered_bytes(item)
         self._items.append((item, size))
+        self.count += 1
         self.bytes += size
 
     def popleft(self) -> QueuedRequest:
         """Remove and return the first request; there must be one."""
         item, size = self._items.popleft()
+        self.count -= 1
         self.bytes -= size
         return item
 
     def only(self) -> QueuedRequest | None:
         """Return the request if there is exactly one, else None."""
-        return self._items[0][0] if len(self._items) == 1 else None
+        return self._items[0][0] if self.count == 1 else None
 
     def discard(self, message: RequestMessage) -> None:
         """Remove a request if it is queued."""
         for entry in self._items:
             if entry[0] is message:
                 self._items.remove(entry)
+                self.count -= 1
                 self.bytes -= entry[1]
                 return
 
@@ -61,5 +61,5 @@
         """Remove and return all requests."""
         items = [item for item, _ in self._items]
         self._items.clear()
-        self.bytes = 0
+        self.count = self.bytes = 0
         return items
