Count nothing for a rejected request, and what waits only once it waits

Cause: the overhead of a request counted for each connection whose request was being received, and after its refusal, so that some hundred of them took the part kept for small requests. The overhead counts for waiting requests; connections are bounded by the descriptors.

--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -141,6 +141,20 @@
     run_on_loop(scenario)
 
 
+# Guards against: what many rejected requests no longer held was missing for the small requests of others.
+def test_a_rejected_request_holds_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        core, _ = await core_with(monkeypatch, FakeHttpServer(silent))
+        core.budget.open_account("answers").set(int(LARGE_SHARE * core.budget.limit_bytes))
+        connection = ClientConnection(ClientListener(core, asyncio.get_running_loop(), 100))
+        connection.connection_made(FullTransport(connection))
+        connection.data_received(message("put", body=b"x" * MAX_BUFFERED_BODY_BYTES)[:-1])
+        assert connection._is_closing and not core.budget.held_bytes_by_purpose()["requests"]
+        core.stop()
+
+    run_on_loop(scenario)
+
+
 def test_memory_for_small_requests_is_left_when_large_ones_are_refused() -> None:
     budget = MemoryBudget(MB, lambda: 0.0)
     large = budget.open_account("requests")
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -288,10 +288,10 @@
     def _buffered_request_bytes(self) -> int:
         """Bytes of requests in memory: being received, queued, or awaiting their answer."""
         size = self._open_request_bytes + self._pending_requests.bytes
-        if self._message is None or self._message.upload is not None:
+        if self._message is None or self._message.upload is not None or self._is_closing:
             return size  # what is streamed is either queued or open
         size += buffered_bytes(self._message)
-        if self._message.head_complete_at_s or self._is_closing:
+        if self._message.head_complete_at_s:
             return size
         return size + max(self._head_bytes - self._message.head_bytes, 0)  # in the parser
 
@@ -697,8 +697,7 @@
             return False
         if count >= MAX_PIPELINED_REQUESTS or self._core.budget.is_short():
             return True
-        overhead_bytes = REQUEST_OVERHEAD_BYTES * (count + (self._message is not None))
-        return self._buffered_request_bytes() - overhead_bytes > MAX_PIPELINED_BYTES
+        return self._buffered_request_bytes() - REQUEST_OVERHEAD_BYTES * count > MAX_PIPELINED_BYTES
 
     def _can_begin_request(self) -> bool:
         """Whether a request waits, and nothing before it is in its way."""
--- a/yewstage/net/request_queue.py
+++ b/yewstage/net/request_queue.py
@@ -14,11 +14,10 @@
 
 
 def buffered_bytes(item: QueuedRequest) -> int:
-    """Bytes that a request holds; those of a streamed body are counted with its upload."""
+    """Bytes of a request's head and body; those of a streamed body are counted with its upload."""
     if isinstance(item, int):
-        return REQUEST_OVERHEAD_BYTES
-    reserved_bytes = 0 if item.upload is not None else item.reserved_bytes
-    return REQUEST_OVERHEAD_BYTES + item.head_bytes + reserved_bytes
+        return 0
+    return item.head_bytes + (0 if item.upload is not None else item.reserved_bytes)
 
 
 class RequestQueue:
@@ -32,7 +31,7 @@
 
     def append(self, item: QueuedRequest) -> None:
         """Append a request. What it holds must not change from now on, but for a streamed body."""
-        size = buffered_bytes(item)
+        size = buffered_bytes(item) + (0 if isinstance(item, int) else REQUEST_OVERHEAD_BYTES)
         self._items.append((item, size))
         self.count += 1
         self.bytes += size
