Keep the shorter limit for answers that are not known to be long

Such answers keep 5 s, as before; the longer limit is for those with a length, and for those that have passed 64 KiB.

Measured: tests/test_outages.py, the four kinds.

--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -10,7 +10,8 @@
 from test_bodies import ScriptedServerRig, body_of
 
 from yewstage.net import pool as pool_module
-from yewstage.net.pool import ANSWER_STALL_S, BODY_STALL_S, LONGEST_OUTAGE_S, SWEEP_INTERVAL_S, Link
+from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES
+from yewstage.net.pool import ANSWER_STALL_S, LONGEST_OUTAGE_S, SHORT_STALL_S, SWEEP_INTERVAL_S, Link
 
 PART = b"x" * 100_000
 LIMIT_S = 40.0
@@ -47,9 +48,22 @@
         self.is_aborted = True
 
 
-@pytest.mark.parametrize(("has_answer", "limit_s"), [(True, ANSWER_STALL_S), (False, BODY_STALL_S)])
+@pytest.mark.parametrize(
+    ("has_answer", "headers", "streamed_bytes", "limit_s"),
+    [
+        (False, {}, 0, SHORT_STALL_S),
+        (True, {b"content-length": b"%d" % len(PART)}, 0, ANSWER_STALL_S),
+        (True, {}, MAX_BUFFERED_BODY_BYTES, SHORT_STALL_S),
+        (True, {}, MAX_BUFFERED_BODY_BYTES + 1, ANSWER_STALL_S),
+    ],
+    ids=["a body", "a long answer", "short so far, without a length", "long so far, without a length"],
+)
 def test_a_stream_without_progress_is_given_up_in_the_end(
-    monkeypatch: pytest.MonkeyPatch, has_answer: bool, limit_s: float
+    monkeypatch: pytest.MonkeyPatch,
+    has_answer: bool,
+    headers: dict[bytes, bytes],
+    streamed_bytes: int,
+    limit_s: float,
 ) -> None:
     assert ANSWER_STALL_S > 2 * LONGEST_OUTAGE_S  # the system sends again after at most that time
     monkeypatch.setattr(pool_module, "undelivered_bytes", lambda transport: 1)
@@ -59,6 +73,7 @@
     link.has_unsent_data, link._read_count, link.close_reason = True, 0, ""
     link.exchange = type("Body", (), {"upload": object()})()
     link._stream = object() if has_answer else None
+    link._headers, link._streamed_bytes = headers, streamed_bytes
     link._pool = type("Pool", (), {"remove": lambda pool, link: None})()
     link.check_progress(0.0)  # notes what there is
     link.check_progress(limit_s)
--- a/yewstage/net/pool.py
+++ b/yewstage/net/pool.py
@@ -42,7 +42,9 @@
 # connection goes on after at most as long again as the outage took.
 LONGEST_OUTAGE_S = 6.0
 ANSWER_STALL_S = 2 * LONGEST_OUTAGE_S + 2 * SWEEP_INTERVAL_S  # without progress for so long it is given up
-BODY_STALL_S = 5.0  # so is a body that its server does not take, whose client waits for its answer
+# So is a body that its server does not take, and an answer without a length that is short so far: their
+# clients wait for an end in their time.
+SHORT_STALL_S = 5.0
 CHUNKED_READ_BYTES = 16 * 1024  # one read of an answer in chunks, as each of them takes time to parse
 # Results of dials and reasons of closes, as labels of the metrics.
 UP, FAILED, TIMED_OUT, DIAL_NO_DESCRIPTOR, CANCELLED = (
@@ -546,6 +548,7 @@
         self._pending_reply: tuple[Exchange, Reply, bool] | None = None
         self._stream: Stream | None = None  # reader of the answer, if it is streamed
         self._unpassed: list[bytes] = []  # parts of the streamed body in the present read
+        self._streamed_bytes = 0  # of the streamed body
         self._is_paused = False  # because the client reads slowly
         self._is_waiting_for_turn = False
         self._is_reading = True  # as the transport was told last
@@ -697,6 +700,7 @@
         """Write the parts of the present read as one, as each by itself takes much more than its bytes."""
         if self._unpassed:
             data, self._unpassed = b"".join(self._unpassed), []
+            self._streamed_bytes += len(data)
             self._stream.write_body(data)
 
     def _body_length(self) -> int | None:
@@ -719,6 +723,7 @@
             self._complete(reusable=False)
             return
         body, self._body = bytes(self._body), bytearray()
+        self._streamed_bytes = 0
         limit_socket_buffer(self.transport, socket.SO_RCVBUF)
         self._pool.mark_streaming(self)
         reply = Reply(status, self._headers, b"")
@@ -726,6 +731,7 @@
         if self._stream is None:
             self.abort(ABANDONED)  # the client has disconnected
         elif body:
+            self._streamed_bytes = len(body)
             self._stream.write_body(body)
         self._memory_account.set(0)  # what was held here is the reader's now
 
@@ -743,12 +749,17 @@
             self._hold_timer.cancel()
             self._hold_timer = None
 
+    def _is_long_answer(self) -> bool:
+        """Whether an answer is streamed that is known to be long."""
+        is_long = self._body_length() is not None or self._streamed_bytes > MAX_BUFFERED_BODY_BYTES
+        return self._stream is not None and is_long
+
     def check_progress(self, now: float) -> None:
         """Close the link if its streamed body stalled, as its server is gone or unreachable."""
         is_uploading = self.has_unsent_data and self.exchange is not None and self.exchange.upload is not None
         if self._is_paused or not (is_uploading or self._stream is not None):
             return
-        limit_s = BODY_STALL_S if self._stream is None else ANSWER_STALL_S
+        limit_s = ANSWER_STALL_S if self._is_long_answer() else SHORT_STALL_S
         unwritten_bytes = self.transport.get_write_buffer_size()
         progress = (self._read_count, undelivered_bytes(self.transport))
         if progress != self._progress or (is_uploading and not unwritten_bytes):
