--- a/tests/test_hidden_ends.py
+++ b/tests/test_hidden_ends.py
@@ -7,13 +7,16 @@
 from pathlib import Path
 
 import pytest
-from conftest import message, reply, run_on_loop
+from conftest import FakeHttpServer, message, reply, run_on_loop, serve
+from scripted_core import RecordingClient, a_request, core_with
 from test_bodies import CHUNKED, ScriptedServerRig, in_chunks
 from test_body_deadlines import StuckServerRig
 from test_departed_clients import connect
 from test_released_memory import until_released
 
+from yewstage import interface as api
 from yewstage.net import clients as clients_module
+from yewstage.net.attempts import CLIENT_UNSEEN, WITHHOLD_REASONS
 from yewstage.net.clients import PRESENCE_VALID_S
 
 BODY_BYTES = 1_000_000  # more than the gateway and the system's buffers before it take
@@ -54,11 +57,36 @@
             await send_and_close(rig, message(rid=b"short") + long_request(framing))
             await until_released(rig, "a client that closed behind its body", within_s=LIMIT_S / 4)
             assert attempts <= 1  # none at all where the process was held up before the first one
-            assert (await rig.metrics())['gateway_attempts_withheld_total{reason="client_unseen"}'] > 0
 
     run_on_loop(scenario, LIMIT_S)
 
 
+class UnseenClient(RecordingClient):
+    """A client whose end may lie unread."""
+
+    def may_have_left_since(self, known_at_s: float) -> bool:
+        return True
+
+
+def test_an_attempt_for_a_client_that_may_have_left_is_withheld_and_counted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        server = FakeHttpServer(serve)
+        core, script = await core_with(monkeypatch, server)
+        script.plan[api.Request] = [api.Send("r1", "s-0", 5000)]
+        core.request(UnseenClient(), a_request())
+        while not script.outcomes():
+            await asyncio.sleep(0)
+        assert script.outcomes() == [api.START_EXPIRED] and not server.seen
+        withheld = core._attempt_runner.withheld_counts
+        assert withheld == {reason: reason == CLIENT_UNSEEN for reason in WITHHOLD_REASONS}
+        core.stop()
+        server.stop()
+
+    run_on_loop(scenario)
+
+
 # Guards against: a long request was completed at its server though its client had closed long before.
 @pytest.mark.parametrize("framing", ["length", "chunked"])
 def test_a_long_request_is_not_completed_for_a_client_that_has_closed(tmp_path: Path, framing: str) -> None:
