Ask nothing of the system about a connection that is being closed

Found by reading: since links are checked by what the server's machine has acknowledged, a connection that is lost in the turn of the check has a closed descriptor, the call raises, and the periodic check of links never runs again: idle links are then not closed before their servers close them, and stalled answers are never given up.

Evidence: one turn after its abort the call raises 'file descriptor cannot be a negative integer'; the new test fails so without the change.

Change: of a transport that is being closed only its own bytes count. All callers share the function.

--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -6,12 +6,13 @@
 from pathlib import Path
 
 import pytest
-from conftest import message, run_on_loop
+from conftest import LOOP, message, run_on_loop
 from test_bodies import ScriptedServerRig, body_of
 
 from yewstage.net import pool as pool_module
 from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES
 from yewstage.net.pool import ANSWER_STALL_S, LONGEST_OUTAGE_S, SHORT_STALL_S, SWEEP_INTERVAL_S, Link
+from yewstage.net.socket_state import undelivered_bytes
 
 PART = b"x" * 100_000
 LIMIT_S = 40.0
@@ -35,6 +36,21 @@
     run_on_loop(scenario, LIMIT_S)
 
 
+# Guards against: the periodic check of links ended for good, as a connection was lost in the same turn.
+def test_the_check_of_links_outlives_a_connection_that_is_being_lost() -> None:
+    async def scenario() -> None:
+        server = await asyncio.start_server(lambda reader, writer: None, LOOP, 0)
+        address = server.sockets[0].getsockname()
+        transport, _ = await asyncio.get_running_loop().create_connection(asyncio.Protocol, *address)
+        transport.abort()
+        for _ in range(3):  # its descriptor is closed in one of these turns
+            assert undelivered_bytes(transport) == 0
+            await asyncio.sleep(0)
+        server.close()
+
+    run_on_loop(scenario)
+
+
 class SilentTransport:
     """A server connection on which nothing moves."""
 
--- a/yewstage/net/socket_state.py
+++ b/yewstage/net/socket_state.py
@@ -45,10 +45,13 @@
 
 
 def undelivered_bytes(transport: asyncio.Transport) -> int:
-    """Bytes that were written to an open transport and that the other machine has not acknowledged yet."""
+    """Bytes that were written and that the other machine has not acknowledged yet.
+
+    Of a transport that is being closed those in the system are unknown, as its descriptor may be closed.
+    """
     in_transport = transport.get_write_buffer_size()
     sock = transport.get_extra_info("socket")
-    if sock is None:
+    if sock is None or transport.is_closing():
         return in_transport
     return in_transport + _queue_bytes(sock.fileno(), termios.TIOCOUTQ)
 
