Pass over invalid request ids of another process, and files that cannot be removed

Found by reading: ids in the state of another process that are no list raised in the middle of taking over, so that the new process never served; a file of ids that cannot be removed raised in the handler of SIGTERM, so that the old one never drained.

Evidence: the new tests fail without the change (see the body's figures below); the ordinary case is covered as before.

Change: only a list of texts counts; failures to remove the file are logged as those to open it. The file belongs to Handover, which knows the folder, instead of a second reading of TMPDIR at the start.

Measured: of the six new cases the invalid types and the directory in the file's place failed before; all pass.

--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -8,12 +8,13 @@
 from pathlib import Path
 
 import pytest
-from conftest import GatewayRig, SeenMessage, message, reply, run_on_loop, serve
+from conftest import FakeHttpServer, GatewayRig, SeenMessage, message, reply, run_on_loop, serve, silent
+from scripted_core import core_with
 from test_departed_clients import WAYS_TO_LEAVE, Leave, connect, held_up
 from test_upgrade import wait_until_ready
 
 from yewstage.net.core import REPEATED_ID_STATUS
-from yewstage.net.shared_ids import SharedRequestIds
+from yewstage.net.shared_ids import FILE_NAME, SharedRequestIds
 from yewstage.request_ids import RequestIds
 
 REPEATED = b"comes-again"
@@ -139,6 +140,27 @@
     shared_ids.close()
 
 
+@pytest.mark.parametrize("ids", [None, 5, "text", {"a": 1}, [None, 5, ["a"], "kept"]])
+def test_invalid_ids_in_the_state_of_another_process_are_passed_over(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path, ids: object
+) -> None:
+    async def scenario() -> None:
+        core, _ = await core_with(monkeypatch, FakeHttpServer(silent))
+        core.share_request_ids(SharedRequestIds(tmp_path))
+        core.take_over({"request_ids": ids})
+        assert core._request_ids.ids() == (["kept"] if isinstance(ids, list) else [])
+        core.stop()
+
+    run_on_loop(scenario)
+
+
+def test_a_file_that_cannot_be_removed_stops_no_handover(tmp_path: Path) -> None:
+    (tmp_path / FILE_NAME).mkdir()  # neither removed nor opened, by whatever user
+    shared_ids = SharedRequestIds(tmp_path)
+    shared_ids.create()
+    assert not shared_ids.is_shared() and shared_ids.claim("a")
+
+
 def test_ids_are_kept_for_a_time_and_up_to_a_number() -> None:
     ids = RequestIds(retention_s=10.0, max_kept=3)
     ids.keep(["a", "b"], now_s=0.0)
--- a/yewstage/__main__.py
+++ b/yewstage/__main__.py
@@ -22,7 +22,6 @@
 from yewstage.net.core import Core
 from yewstage.net.handover import Handover
 from yewstage.net.ops import Ops
-from yewstage.net.shared_ids import SharedRequestIds
 
 if TYPE_CHECKING:
     from yewstage.net.peers import Peers
@@ -208,10 +207,6 @@
     return Handover(Path(folder), config.name, loop)
 
 
-def _share_request_ids(core: Core) -> None:
-    core.share_request_ids(SharedRequestIds(Path(os.environ["TMPDIR"])))
-
-
 async def serve(config: Config) -> None:
     """Run until the shutdown after SIGTERM or SIGINT is done. SIGHUP reloads the configuration."""
     loop = asyncio.get_running_loop()
@@ -220,7 +215,7 @@
     peers = await _open_peers(config, core, loop)
     handover = _handover(config, loop)
     if handover is not None:
-        _share_request_ids(core)
+        core.share_request_ids(handover.request_ids)
     coordinator = HandoverCoordinator(core, server, loop, handover, peers)
     shutdown = Shutdown(core, server, loop, coordinator)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -319,8 +319,9 @@
         """Continue from the state of the previous process; None if it left none."""
         if self._shared_ids is not None and state is not None:
             self._shared_ids.open()
-            ids = state.get("request_ids", ())  # an earlier version has none
-            self._request_ids.keep((i for i in ids if isinstance(i, str)), time.monotonic())
+            ids = state.get("request_ids")  # an earlier version has none
+            if isinstance(ids, list):
+                self._request_ids.keep((i for i in ids if isinstance(i, str)), time.monotonic())
         self._post(api.TakenOver(state))
 
     def predecessor_exited(self) -> None:
--- a/yewstage/net/handover.py
+++ b/yewstage/net/handover.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 from yewstage.log import Event
+from yewstage.net.shared_ids import SharedRequestIds
 
 log = logging.getLogger(__name__)
 
@@ -31,6 +32,7 @@
 
     def __init__(self, folder: Path, name: str, loop: asyncio.AbstractEventLoop) -> None:
         self._folder, self._name, self._loop = folder, name, loop
+        self.request_ids = SharedRequestIds(folder)
         self._locks: dict[str, int] = {}  # descriptors of lock files, held or only opened
         self._started_at_ms = time.time() * 1000
         self._on_takeover: Callable[[State | None], None] | None = None  # None once the state is taken over
--- a/yewstage/net/shared_ids.py
+++ b/yewstage/net/shared_ids.py
@@ -31,7 +31,7 @@
     def create(self) -> None:
         """Begin a new file; called before the other process is told to serve."""
         self.close()
-        self._path.unlink(missing_ok=True)
+        self._remove()
         self.open()
 
     def open(self) -> None:
@@ -40,14 +40,14 @@
             flags = os.O_RDWR | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC
             self._descriptor = os.open(self._path, flags, 0o600)
         except OSError as error:
-            log.warning(Event("no_shared_ids", "cannot share request ids: {error}", error=str(error)))
+            self._log_failure(error)
 
     def close(self) -> None:
         """Stop sharing, and remove the file: the other process has ended."""
         if self._descriptor >= 0:
             os.close(self._descriptor)
             self._descriptor = -1
-            self._path.unlink(missing_ok=True)
+            self._remove()
         self._process_by_id.clear()
         self._read_bytes, self._partial = 0, b""
 
@@ -64,9 +64,19 @@
             os.write(self._descriptor, b"%b %b\n" % (name, self._own))
             self._read_new()
         except OSError as error:  # the disk is full, say
-            log.warning(Event("no_shared_ids", "cannot share request ids: {error}", error=str(error)))
+            self._log_failure(error)
         return self._process_by_id.get(name, self._own) == self._own
 
+    def _remove(self) -> None:
+        try:
+            self._path.unlink(missing_ok=True)
+        except OSError as error:
+            self._log_failure(error)
+
+    @staticmethod
+    def _log_failure(error: OSError) -> None:
+        log.warning(Event("no_shared_ids", "cannot share request ids: {error}", error=str(error)))
+
     def _read_new(self) -> None:
         size = os.fstat(self._descriptor).st_size
         data = os.pread(self._descriptor, size - self._read_bytes, self._read_bytes)
