Ask for the client wherever a request ends, and for its id before any refusal

Found by reading: whether a client had left without its answer was asked where a short answer is written, not where a streamed one ends. A client that left just before the end of a long answer had its request run again under its id. The id of a request that another open one had taken over was not kept at all. And a process about to end answered 503, which promises no effect, before it looked at the id.

Evidence: the new tests; before, a long answer whose client leaves while the process is held up runs twice, and the ending process answers 503 to an id that may have run.

Change: Core._close_request, by which every request ends for its client, asks; an ended request that may have run keeps its id whatever else has it; the id comes first in Core.request.

--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import signal
+import time
 from pathlib import Path
 
 import pytest
 from conftest import FakeHttpServer, GatewayRig, SeenMessage, message, reply, run_on_loop, serve, silent
-from scripted_core import core_with
+from scripted_core import RecordingClient, a_request, core_with
 from test_departed_clients import WAYS_TO_LEAVE, Leave, connect, held_up
 from test_upgrade import wait_until_ready
 
@@ -89,6 +91,52 @@
     run_on_loop(scenario, LIMIT_S)
 
 
+def held_stream() -> bytes:
+    """The beginning of a long answer."""
+    return b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + b"x" * 50_000
+
+
+# Guards against: a request ran twice when its client left within, or just before the end of, a long answer.
+@pytest.mark.parametrize("is_held_up", [False, True], ids=["running", "held up"])
+def test_a_request_whose_client_left_within_its_answer_runs_once(tmp_path: Path, is_held_up: bool) -> None:
+    async def scenario() -> None:
+        async with GatewayRig(tmp_path, holds_repeated) as rig:
+            client = connect(rig)
+            client.sendall(request("pay"))
+            await rig.hosts[0].wait_until(lambda fake: bool(fake.seen))
+            writer = rig.hosts[0].seen[0].writer
+            writer.write(held_stream())
+            while not (await rig.metrics())["gateway_streams_open"]:
+                await asyncio.sleep(0.01)
+            async with held_up(rig) if is_held_up else contextlib.nullcontext():
+                client.close()
+                writer.write(b"x" * 50_000)  # the rest is read in the turn in which the close can be
+                await writer.drain()
+            while (await rig.metrics())["gateway_streams_open"]:
+                await asyncio.sleep(0.01)
+            assert await rig.status(request("pay")) == REPEATED_ID_STATUS
+            assert await runs(rig) == 1
+
+    run_on_loop(scenario, LIMIT_S)
+
+
+# Guards against: a process that is ending promised of a request that may have run that it had no effect.
+def test_a_request_that_comes_again_at_the_end_of_a_process_is_not_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        core, _ = await core_with(monkeypatch, FakeHttpServer(silent))
+        core._request_ids.keep(["a"], now_s=time.monotonic())
+        core.fail_all()
+        for client_id, status in (("a", REPEATED_ID_STATUS), ("b", 503)):
+            client = RecordingClient()
+            core.request(client, dataclasses.replace(a_request(), client_id=client_id))
+            assert client.statuses.get_nowait() == status
+        core.stop()
+
+    run_on_loop(scenario)
+
+
 # Guards against: a request ran twice when it came again at the other process of an upgrade.
 @pytest.mark.parametrize("cls", ["put", "pay"])
 @pytest.mark.parametrize("leaves_before_handover", [True, False])
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -424,13 +424,13 @@
             request_id, client, client_request, arrived_at, math.inf, self.settings.try_limit
         )
         self._requests[request_id] = request
+        if client_request.cls.effect != "safe" and not self._open_id(request, now):
+            self._answer(request, REPEATED_ID_STATUS, why="id runs already")
+            return request_id
         if self._is_ending:  # otherwise SIGKILL could come before its answer
             retry_after_ms = self.settings.max_retry_after_ms * self.settings.retry_after
             self._answer(request, 503, retry_after_ms=retry_after_ms, why="ending")
             return request_id
-        if client_request.cls.effect != "safe" and not self._open_id(request, now):
-            self._answer(request, REPEATED_ID_STATUS, why="id runs already")
-            return request_id
         self._restart_deadline(request)
         self._post(
             api.Request(
@@ -552,8 +552,6 @@
         if request is None or request.client is None or request.streaming_attempt is not None:
             return
         client = request.client
-        # Without its answer: asked for before it is written, as afterwards a client that has it may close.
-        request.has_left = request.client_request.cls.effect != "safe" and client.has_hung_up()
         self._close_request(request)
         self.stats.count_answer(request.client_request.cls.name, status)
         if reply is None:
@@ -565,7 +563,10 @@
             client.answer(status, reply.body, reply.headers.get(b"content-type", b""))
 
     def _close_request(self, request: _OpenRequest) -> None:
-        request.client = None
+        """End the request for its client, before the end of its answer is written."""
+        client, request.client = request.client, None
+        if request.client_request.cls.effect != "safe":  # afterwards a client that has its answer may close
+            request.has_left = request.has_left or client.has_hung_up()
         self._unanswered -= request.is_received
         if request.guard_timer is not None:
             request.guard_timer.cancel()
@@ -582,15 +583,12 @@
             self._close_id(request)
 
     def _close_id(self, request: _OpenRequest) -> None:
+        """Keep the id of an ended request that may have run for a client that has left."""
         client_id = request.client_request.client_id
         if self._open_ids.get(client_id) is request:
             del self._open_ids[client_id]
-            self._keep_id(request)
-
-    def _keep_id(self, request: _OpenRequest) -> None:
-        """Keep the id of a request that may have run for a client that has left."""
         if request.has_left and request.client_request.cls.effect != "safe" and request.may_have_run():
-            self._request_ids.keep((request.client_request.client_id,), time.monotonic())
+            self._request_ids.keep((client_id,), time.monotonic())
 
     # --- Servers ------------------------------------------------------------------------------------------
 
