Count the last part of a long body while it waits

Found by reading: the last part of a streamed body, up to 64 KiB, waits outside the transport until the parts before it are written, and the memory budget did not know of it. 85 clients could hold 5 MB so.

Measured: the new test fails before (8 bytes held instead of 11) and passes.

--- a/tests/test_hidden_ends.py
+++ b/tests/test_hidden_ends.py
@@ -17,7 +17,9 @@
 from yewstage import interface as api
 from yewstage.net import clients as clients_module
 from yewstage.net.attempts import CLIENT_UNSEEN, WITHHOLD_REASONS
+from yewstage.net.budget import MemoryBudget
 from yewstage.net.clients import PRESENCE_VALID_S
+from yewstage.net.upload import Upload
 
 BODY_BYTES = 1_000_000  # more than the gateway and the system's buffers before it take
 RESET_AFTER_S = 4 * PRESENCE_VALID_S
@@ -109,6 +111,50 @@
     run_on_loop(scenario, LIMIT_S)
 
 
+class FullServerConnection:
+    """A server connection whose transport holds bytes until a test says that they are written."""
+
+    def __init__(self) -> None:
+        self.transport, self.unwritten_bytes = self, 0
+        self.written = b""
+
+    def is_closing(self) -> bool:
+        return False
+
+    def get_extra_info(self, name: str) -> None:
+        return None
+
+    def get_write_buffer_size(self) -> int:
+        return self.unwritten_bytes
+
+    def write(self, data: bytes) -> None:
+        self.written += data
+        self.unwritten_bytes += len(data)
+
+    def flushed(self) -> None:
+        pass
+
+
+# Guards against: the last part of a body goes out for a client that has left, or counts as nothing till then.
+@pytest.mark.parametrize("is_there", [True, False])
+def test_the_last_part_of_a_body_waits_for_those_before_it_and_is_held(is_there: bool) -> None:
+    budget = MemoryBudget(1_000_000, lambda: 0.0)
+    account = budget.open_account("uploads")
+    server = FullServerConnection()
+    upload = Upload(7, account, lambda: None, lambda upload: None, lambda: None, lambda: is_there)
+    upload.attach(server, b"head")
+    upload.feed(b"1234")
+    upload.finish(b"567")
+    assert server.written == b"head1234" and upload.is_complete and not upload.is_written
+    assert budget.held == len(b"head1234567")
+    server.unwritten_bytes = 0
+    upload.drained()
+    assert server.written == (b"head1234567" if is_there else b"head1234")
+    assert upload.is_written == is_there
+    upload.close()
+    assert budget.held == 0
+
+
 # Guards against: clients that stay would be taken for ones that left, as their body fills all buffers.
 @pytest.mark.parametrize("framing", ["length", "chunked"])
 def test_a_long_request_to_a_slow_server_is_served(tmp_path: Path, framing: str) -> None:
--- a/yewstage/net/upload.py
+++ b/yewstage/net/upload.py
@@ -71,7 +71,12 @@
         self.is_complete = True
         data = self._framed(data) if data else b""
         self._last_part = data + (LAST_CHUNK if self._content_length is None else b"")
-        if self._server_connection is None or not self._server_connection.transport.get_write_buffer_size():
+        unwritten_bytes = 0
+        if self._server_connection is not None:
+            unwritten_bytes = self._server_connection.transport.get_write_buffer_size()
+        if unwritten_bytes:
+            self._set_held_bytes(unwritten_bytes + len(self._last_part))
+        else:
             self._forward_last_part()
 
     def _framed(self, data: bytes) -> bytes:
