--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -16,7 +16,7 @@
 from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES, limit_socket_buffer
 from yewstage.net.loop_monitor import STALL_THRESHOLD_S, ReadGap
 from yewstage.net.pool import Source
-from yewstage.net.receive_buffer import READ_BYTES, receive_buffer, received_bytes
+from yewstage.net.receive_buffer import CHUNKED_READ_BYTES, READ_BYTES, receive_buffer, received_bytes
 from yewstage.net.request_queue import REQUEST_OVERHEAD_BYTES, RequestQueue, buffered_bytes
 from yewstage.net.socket_state import (
     has_hung_up,
@@ -38,9 +38,9 @@
 BODY_DRAIN_TIMEOUT_S = 5.0  # for reading the rest of a body whose request is already answered
 ANSWER_READ_TIMEOUT_S = 30.0  # a client that reads nothing of its answer for longer is disconnected
 IDLE_TIMEOUT_S = 75.0  # for an idle connection while there is room for others
-# One read while heads are received, and of a body in chunks, as each of their parts takes time to parse.
-HEAD_READ_BYTES = 8 * 1024
-CHUNKED_READ_BYTES = 16 * 1024
+HEAD_READ_BYTES = 8 * 1024  # one read while heads are received, as each field takes time to parse
+    8 * 1024
+)  # of one read while heads are received, as each of their fields takes time to parse
 REQUESTS_PER_TURN = 8  # begun at once; the further ones of a connection wait for its next turn
 # Heads and bodies, and requests, that are queued before reading pauses; a client's end is seen while reading.
 MAX_PIPELINED_BYTES = 64 * 1024
--- a/yewstage/net/pool.py
+++ b/yewstage/net/pool.py
@@ -26,6 +26,7 @@
     ReplyProtocol,
     limit_socket_buffer,
 )
+from yewstage.net.receive_buffer import CHUNKED_READ_BYTES
 from yewstage.net.socket_state import discard_on_close, undelivered_bytes
 from yewstage.net.stats import DescriptorUse
 from yewstage.net.turns import TurnQueue
@@ -45,7 +46,6 @@
 # So is a body that its server does not take, and an answer without a length that is short so far: their
 # clients wait for an end in their time.
 SHORT_STALL_S = 5.0
-CHUNKED_READ_BYTES = 16 * 1024  # one read of an answer in chunks, as each of them takes time to parse
 # Results of dials and reasons of closes, as labels of the metrics.
 UP, FAILED, TIMED_OUT, DIAL_NO_DESCRIPTOR, CANCELLED = (
     "up",
--- a/yewstage/net/receive_buffer.py
+++ b/yewstage/net/receive_buffer.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 READ_BYTES = 64 * 1024  # upper bound of one read of a socket
+CHUNKED_READ_BYTES = 16 * 1024  # of a body in chunks, as each of them takes time to parse
 
 _buffer = memoryview(bytearray(READ_BYTES))
 
