--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -39,8 +39,6 @@
 ANSWER_READ_TIMEOUT_S = 30.0  # a client that reads nothing of its answer for longer is disconnected
 IDLE_TIMEOUT_S = 75.0  # for an idle connection while there is room for others
 HEAD_READ_BYTES = 8 * 1024  # one read while heads are received, as each field takes time to parse
-    8 * 1024
-)  # of one read while heads are received, as each of their fields takes time to parse
 REQUESTS_PER_TURN = 8  # begun at once; the further ones of a connection wait for its next turn
 # Heads and bodies, and requests, that are queued before reading pauses; a client's end is seen while reading.
 MAX_PIPELINED_BYTES = 64 * 1024
