Start the load of the tests of crowds and floods in one place

Both started a process and asked beside it in the same way; and a test that failed left its load running, on a port that another test may get. All checks stay.

--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -4,15 +4,13 @@
 
 import asyncio
 import gc
-import os
-import sys
-import time
 import weakref
 from pathlib import Path
 
 import pytest
-from conftest import ROOT, FakeHttpServer, GatewayRig, SeenMessage, message, reply, run_on_loop, silent
+from conftest import FakeHttpServer, GatewayRig, SeenMessage, message, reply, run_on_loop, silent
 from crowding_client import KINDS
+from load_process import others_served
 from scripted_core import core_with
 from test_streams import FullTransport
 
@@ -53,21 +51,9 @@
         ) as rig:
             await rig.ask(message(rid=b"warm"))
             before = peak_bytes(rig.process.pid)
-            crowd = await asyncio.create_subprocess_exec(
-                sys.executable,
-                str(Path(__file__).parent / "crowding_client.py"),
-                *(str(rig.port), kind, str(CLIENTS), str(CROWD_S)),
-                env={**os.environ, "PYTHONPATH": str(ROOT)},
-            )
-            statuses, longest_s = [], 0.0
-            while crowd.returncode is None:
-                asked_at = time.monotonic()
-                statuses.append(await rig.status(message(rid=b"other-%d" % len(statuses))))
-                longest_s = max(longest_s, time.monotonic() - asked_at)
-                await asyncio.sleep(0.02)
-            assert crowd.returncode == 0
-            assert set(statuses) <= ({200, 503} if kind in SOUND_KINDS else {200})
-            assert longest_s < OTHERS_WAIT_S
+            others = await others_served(rig, "crowding_client.py", kind, CLIENTS, CROWD_S)
+            assert set(others.statuses) <= ({200, 503} if kind in SOUND_KINDS else {200})
+            assert others.longest_s < OTHERS_WAIT_S
             limit = (await rig.metrics())["gateway_held_bytes_limit"]
             assert peak_bytes(rig.process.pid) - before < COPIES * limit + CLIENTS * CONNECTION_BYTES
 
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import os
-import sys
-import time
 from pathlib import Path
 
 import pytest
-from conftest import ROOT, FakeHttpServer, GatewayRig, message, run_on_loop, serve, silent
+from conftest import FakeHttpServer, GatewayRig, message, run_on_loop, serve, silent
 from flooding_client import KINDS
+from load_process import others_served
 from scripted_core import core_with
 from test_bodies import resident_mb
 from test_streams import FullTransport
@@ -45,21 +43,9 @@
         async with GatewayRig(tmp_path, serve) as rig:
             await rig.ask(message(rid=b"warm"))
             before_mb = resident_mb(rig.process.pid)
-            flood = await asyncio.create_subprocess_exec(
-                sys.executable,
-                str(Path(__file__).parent / "flooding_client.py"),
-                *(str(rig.port), kind, str(FLOOD_S)),
-                env={**os.environ, "PYTHONPATH": str(ROOT)},
-            )
-            longest_s, answers = 0.0, 0
-            while flood.returncode is None:
-                asked_at = time.monotonic()
-                assert await rig.status(message(rid=b"other-%d" % answers)) == 200
-                longest_s = max(longest_s, time.monotonic() - asked_at)
-                answers += 1
-                await asyncio.sleep(0.02)
-            assert flood.returncode == 0
-            assert longest_s < OTHERS_WAIT_S
+            others = await others_served(rig, "flooding_client.py", kind, FLOOD_S)
+            assert set(others.statuses) == {200}
+            assert others.longest_s < OTHERS_WAIT_S
             assert resident_mb(rig.process.pid) - before_mb < GROWTH_MB
 
     run_on_loop(scenario, LIMIT_S)
