Take input that may have waited at the client's machine for no sign of the client

Cause: a client counted as there when its request arrived, or when its input had been read to the end. Neither is a sign of it: its machine goes on sending what it has taken, and the input is empty for a moment each time that reading is faster than that. While reading is on, unread input counted as new, though a connection from the backlog, or one whose read filled the buffer, may have it for long. The last byte of a long body with other requests behind it was not asked about at all.

Change: a client is seen when it connects, when input comes after 0.1 s without any while reading was on, and when there is no more unread than leaves room for its end. The last byte of a body is withheld, and the request answered 503 (it has not run), where its client may have left. An attempt whose body is not written whole does not count as one that may run without its client.

--- a/tests/scripted_core.py
+++ b/tests/scripted_core.py
@@ -50,7 +50,7 @@
     def has_disconnected(self) -> bool:
         return self.has_left
 
-    def may_have_left_since(self, known_at_s: float) -> bool:
+    def may_have_left(self) -> bool:
         return False
 
     def answer(
--- a/tests/test_hidden_ends.py
+++ b/tests/test_hidden_ends.py
@@ -4,21 +4,24 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
-from conftest import FakeHttpServer, message, reply, run_on_loop, serve
+from conftest import FakeHttpServer, GatewayRig, message, reply, run_on_loop, serve
 from scripted_core import RecordingClient, a_request, core_with
 from test_bodies import CHUNKED, ScriptedServerRig, in_chunks
 from test_body_deadlines import StuckServerRig
-from test_departed_clients import connect
+from test_departed_clients import accepted, connect, held_up, used
 from test_released_memory import until_released
 
 from yewstage import interface as api
 from yewstage.net import clients as clients_module
 from yewstage.net.attempts import CLIENT_UNSEEN, WITHHOLD_REASONS
 from yewstage.net.budget import MemoryBudget
-from yewstage.net.clients import PRESENCE_VALID_S
+from yewstage.net.clients import PRESENCE_VALID_S, SEND_GAP_S
+from yewstage.net.loop_monitor import ReadGap
 from yewstage.net.upload import Upload
 
 BODY_BYTES = 1_000_000  # more than the gateway and the system's buffers before it take
@@ -63,10 +66,50 @@
     run_on_loop(scenario, LIMIT_S)
 
 
+def many(request: Callable[[bytes], bytes], size: int) -> bytes:
+    """So many requests, each with an id of its own, that together they have this size."""
+    one = len(request(b"many-00000"))
+    return b"".join(request(b"many-%05d" % number) for number in range(size // one))
+
+
+AT_ONCE = {
+    "short requests": many(lambda rid: message(rid=rid), 3 * BODY_BYTES),
+    "short bodies": many(lambda rid: message("put", rid=rid, body=b"x" * 60_000), 3 * BODY_BYTES),
+    "long bodies": many(lambda rid: message("put", rid=rid, body=b"x" * (BODY_BYTES // 2)), 3 * BODY_BYTES),
+    "a short request and a long body": message(rid=b"short") + long_request("length"),
+}
+
+
+# Guards against: requests were sent for a client that had closed behind them while the process was held up.
+@pytest.mark.parametrize("what", AT_ONCE)
+@pytest.mark.parametrize("connection", [accepted, used, None], ids=["accepted", "used", "in the backlog"])
+def test_nothing_is_sent_for_a_client_that_closed_behind_much_while_the_process_was_held_up(
+    tmp_path: Path, what: str, connection: Callable | None
+) -> None:
+    async def scenario() -> None:
+        async with GatewayRig(tmp_path, serve) as rig:
+            await rig.ask(message(rid=b"warm"))
+            client = None if connection is None else await connection(rig)
+            async with held_up(rig):
+                client = client or connect(rig)
+                client.setblocking(False)
+                data = AT_ONCE[what]
+                with contextlib.suppress(BlockingIOError):
+                    while data:
+                        data = data[client.send(data) :]
+                client.close()
+                await asyncio.sleep(4 * PRESENCE_VALID_S)
+            await until_released(rig, "a client that closed behind much", within_s=LIMIT_S / 4)
+            ids = {seen.headers["x-request-id"] for seen in rig.hosts[0].seen}
+            assert ids <= {"warm", "first"}
+
+    run_on_loop(scenario, LIMIT_S)
+
+
 class UnseenClient(RecordingClient):
     """A client whose end may lie unread."""
 
-    def may_have_left_since(self, known_at_s: float) -> bool:
+    def may_have_left(self) -> bool:
         return True
 
 
@@ -173,6 +216,20 @@
     run_on_loop(scenario, LIMIT_S)
 
 
+def connection_with_unread(
+    monkeypatch: pytest.MonkeyPatch, unread_bytes: int, held_up_s: float = 0.0
+) -> clients_module.ClientConnection:
+    """A connection that is read, at time 100, after a long quiet time and with unread input."""
+    connection = clients_module.ClientConnection.__new__(clients_module.ClientConnection)
+    connection._is_reading, connection._read_gap, connection.received_at_s = True, ReadGap(monitor=None), 0.0
+    connection._seen_at_s = 0.0
+    connection._listener = SimpleNamespace(now=lambda: 100.0)
+    connection._core = SimpleNamespace(loop_monitor=SimpleNamespace(read_delay_s=lambda now: held_up_s))
+    monkeypatch.setattr(clients_module.time, "monotonic", lambda: 100.0)
+    monkeypatch.setattr(clients_module.ClientConnection, "_unread_bytes", lambda connection: unread_bytes)
+    return connection
+
+
 @pytest.mark.parametrize(
     ("unread_bytes", "known_s_ago", "may_have_left"),
     [
@@ -185,22 +242,27 @@
 def test_a_client_counts_as_there_for_a_time_while_its_end_may_lie_unread(
     monkeypatch: pytest.MonkeyPatch, unread_bytes: int, known_s_ago: float, may_have_left: bool
 ) -> None:
-    connection = clients_module.ClientConnection.__new__(clients_module.ClientConnection)
-    connection._drained_at_s, connection._is_reading = 0.0, False
-    monkeypatch.setattr(clients_module.time, "monotonic", lambda: 100.0)
-    monkeypatch.setattr(clients_module.ClientConnection, "_unread_bytes", lambda connection: unread_bytes)
-    assert connection.may_have_left_since(100.0 - known_s_ago) == may_have_left
-    connection._drained_at_s = 100.0
-    assert not connection.may_have_left_since(100.0 - known_s_ago)
+    connection = connection_with_unread(monkeypatch, unread_bytes)
+    connection._is_reading, connection._seen_at_s = False, 100.0 - known_s_ago
+    assert connection.may_have_left() == may_have_left
+    connection._seen_at_s = 100.0
+    assert not connection.may_have_left()
 
 
-def test_a_client_whose_input_is_read_counts_as_there_unless_the_event_loop_was_held_up(
-    monkeypatch: pytest.MonkeyPatch,
+@pytest.mark.parametrize(
+    ("held_up_s", "quiet_s", "has_gap", "may_have_left"),
+    [
+        (0.0, 2 * SEND_GAP_S, False, False),  # the client has sent it just now
+        (2 * PRESENCE_VALID_S, 2 * SEND_GAP_S, False, True),  # or before the process was held up
+        (0.0, SEND_GAP_S / 2, False, True),  # its machine may have had it for long
+        (0.0, 2 * SEND_GAP_S, True, True),  # so may the system here
+    ],
+)
+def test_unread_input_is_a_sign_of_the_client_only_where_it_did_not_wait_for_room(
+    monkeypatch: pytest.MonkeyPatch, held_up_s: float, quiet_s: float, has_gap: bool, may_have_left: bool
 ) -> None:
-    connection = clients_module.ClientConnection.__new__(clients_module.ClientConnection)
-    connection._drained_at_s, connection._is_reading = 0.0, True
-    monkeypatch.setattr(clients_module.ClientConnection, "_unread_bytes", lambda connection: BODY_BYTES)
-    for held_up_s, may_have_left in ((0.0, False), (2 * PRESENCE_VALID_S, True)):
-        monitor = type("Monitor", (), {"read_delay_s": lambda monitor, now, held_up_s=held_up_s: held_up_s})()
-        connection._core = type("Core", (), {"loop_monitor": monitor})()
-        assert connection.may_have_left_since(0.0) == may_have_left
+    connection = connection_with_unread(monkeypatch, BODY_BYTES, held_up_s)
+    connection.received_at_s = 100.0 - quiet_s
+    if has_gap:
+        connection._read_gap.pause()
+    assert connection.may_have_left() == may_have_left
--- a/yewstage/net/attempts.py
+++ b/yewstage/net/attempts.py
@@ -170,8 +170,11 @@
         return None if arrived_at is None else max(arrived_at, self.begun_at)
 
     def may_have_run(self) -> bool:
-        """Whether its server may have run it, or may yet."""
-        if not self.is_done:
+        """Whether its server may have run it, or may yet though its client has left.
+
+        The last part of a streamed body is not written without a client.
+        """
+        if not self.is_done and self.upload is None:
             return self.may_have_sent
         return self.is_sent and self.result not in api.NEVER_RAN
 
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -45,10 +45,11 @@
 MAX_PIPELINED_REQUESTS = 256
 SPARE_IDLE_TIMEOUT_S = 2.0  # a connection idle for longer is closed when a new client needs room
 SILENT_TIMEOUT_S = 0.5  # so is one without a request yet, once it has received nothing for so long
-# How long a client counts as there while its end may lie unread behind more bytes than these; with fewer, the
-# system has room for the end. Attempts that begin 0.1 s after a client's close are too late.
+# How long a client that was seen counts as there while its end may lie behind more unread bytes than these;
+# with fewer, the system has room for it. Attempts that begin 0.1 s after a client's close are too late.
 PRESENCE_VALID_S = 0.08
 MAX_UNREAD_BEFORE_END_BYTES = 4 * 1024
+SEND_GAP_S = 0.1  # input after so long without any did not wait at the client's machine: the client sent it
 LINGER_TIMEOUT_S = 1.0  # for reading on after the last answer is delivered, unless the client closes first
 
 REASON_PHRASES = {
@@ -77,7 +78,7 @@
         "_max_read_bytes",
         "_is_waiting_for_turn",
         "_is_reading",
-        "_drained_at_s",
+        "_seen_at_s",
         "_descriptor",
         "transport",
         "_parser",
@@ -118,7 +119,9 @@
         self._max_read_bytes = READ_BYTES  # of the latest read
         self._is_waiting_for_turn = False
         self._is_reading = True  # as the transport was told last
-        self._drained_at_s = 0.0  # when all that had arrived was read, by the monotonic clock
+        # When the client was there for certain, by the monotonic clock. Its machine goes on sending what it
+        # has taken, and then its end, after the client has closed, so most input is no sign of it.
+        self._seen_at_s = time.monotonic() if unread_since_s is None else unread_since_s
         self._descriptor = -1  # of the transport's socket; -1 until it is needed
         self.transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
@@ -177,8 +180,11 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what was read, and begin the requests that it completes."""
-        self.received_at_s = self._listener.now()
         is_all_read = len(data) != self._max_read_bytes  # else the buffer was full
+        if self._is_input_new():
+            now = time.monotonic()
+            self._seen_at_s = now - self._core.loop_monitor.read_delay_s(now)
+        self.received_at_s = self._listener.now()
         if not self._is_closing:
             self._take(data, is_all_read)
         if not is_all_read:
@@ -187,8 +193,6 @@
     def _take(self, data: bytes, is_all_read: bool) -> None:
         """Parse what was read, and begin requests."""
         now = time.monotonic()
-        if is_all_read:
-            self._drained_at_s = now
         self._read_arrived_at_s = loop_arrival_s = now - self._core.loop_monitor.read_delay_s(now)
         if self._read_gap.is_open():
             self._read_arrived_at_s = self._read_gap.earliest_arrival_s(now)
@@ -385,20 +389,34 @@
             self._release_requests()
         return is_hung_up
 
-    def may_have_left_since(self, known_at_s: float) -> bool:
-        """Whether the client may have left since then, its end behind bytes for which there is no room."""
+    def may_have_left(self) -> bool:
+        """Whether the end of a client that has not hung up may lie behind bytes that have no room yet."""
         now = time.monotonic()
-        if self._is_reading:  # nothing lies there for longer than the event loop took
-            known_at_s = now - self._core.loop_monitor.read_delay_s(now)
-        if now - max(known_at_s, self._drained_at_s) <= PRESENCE_VALID_S:
+        if self._is_input_new():
+            self._seen_at_s = now - self._core.loop_monitor.read_delay_s(now)
+        if now - self._seen_at_s <= PRESENCE_VALID_S:
             return False
-        return self._unread_bytes() > MAX_UNREAD_BEFORE_END_BYTES
+        if self._unread_bytes() > MAX_UNREAD_BEFORE_END_BYTES:
+            return True
+        self._seen_at_s = now
+        return False
+
+    def _is_input_new(self) -> bool:
+        """Whether unread input, if there is any, was sent since the last turn of the event loop."""
+        quiet_s = self._listener.now() - self.received_at_s
+        return self._is_reading and not self._read_gap.is_open() and quiet_s >= SEND_GAP_S
 
     def _may_complete_upload(self) -> bool:
         """Whether the last byte of the present request's body may be written; else the request has ended."""
-        if not self.has_disconnected():
+        if self.has_disconnected():
+            self._release_open_request()
+            return False
+        if not self._is_answer_due or self._answer_source is not None:
+            return True  # its answer has begun, so its server does not wait for the last byte
+        if not self.may_have_left():
             return True
-        self._release_open_request()
+        self._core.count_unseen_client()
+        self._end_open_request(503)
         return False
 
     def _fileno(self) -> int:
@@ -637,12 +655,16 @@
             message.upload.close()
             self._reject(status)
         elif self._is_answer_due and self._answer_source is None:
-            self._release_open_request()
-            self._is_closing = True
-            self._answer_and_close(status)
+            self._end_open_request(status)
         else:
             self.transport.abort()
 
+    def _end_open_request(self, status: int) -> None:
+        """Cancel the open request, whose body was not sent whole, and answer it as the last one."""
+        self._release_open_request()
+        self._is_closing = True
+        self._answer_and_close(status)
+
     def _update_reading(self) -> None:
         """Pause reading while the queue is full or an upload is held back, else resume it."""
         should_pause = self._is_queue_full
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -20,7 +20,7 @@
 from yewstage import interface as api
 from yewstage import wire
 from yewstage.log import Event, JoinedList
-from yewstage.net.attempts import Attempt, AttemptRunner
+from yewstage.net.attempts import CLIENT_UNSEEN, Attempt, AttemptRunner
 from yewstage.net.budget import MemoryBudget
 from yewstage.net.config import Config
 from yewstage.net.counter import Counter
@@ -83,11 +83,8 @@
     def has_disconnected(self) -> bool:
         """The same; one that has is released: nothing more is begun for it."""
 
-    def may_have_left_since(self, known_at_s: float) -> bool:
-        """Whether its end may lie behind bytes that are not read yet.
-
-        `known_at_s` is when the client was known to be there, by the monotonic clock.
-        """
+    def may_have_left(self) -> bool:
+        """Whether its end may lie behind bytes that are not read yet."""
 
     def answer(
         self, status: int, body: bytes = b"", content_type: bytes = b"", retry_after_ms: float = 0.0
@@ -471,9 +468,12 @@
         client = request.client
         if client is not None and client.has_disconnected():
             self.client_disconnected(request.id, "client left, seen as it came again")
-        if request.client is None:
-            return request.has_left and request.may_have_run()
-        return client.may_have_left_since(request.received_at)
+        has_left = request.has_left if request.client is None else client.may_have_left()
+        return has_left and request.may_have_run()
+
+    def count_unseen_client(self) -> None:
+        """Count an attempt whose last byte is withheld, as its client's end may lie unread."""
+        self._attempt_runner.withheld_counts[CLIENT_UNSEEN] += 1
 
     def body_arrived(self, request_id: str) -> None:
         """Called when it becomes known that the last byte of a streamed body has arrived, or that it has not.
@@ -681,7 +681,7 @@
         if client.has_disconnected():
             self.client_disconnected(request.id, "client left, seen before an attempt")
             return False
-        return attempt.upload is not None or not client.may_have_left_since(request.received_at)
+        return attempt.upload is not None or not client.may_have_left()
 
     def on_sent(self, attempt: Attempt) -> None:
         """Called when the last byte of an attempt was written."""
