--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -134,6 +134,7 @@
 PACKAGES = [
     {"name": "team", "refill": 500.0, "burst": 1000.0, "worth_factor": 1.0},
     {"name": "small", "refill": 1.0, "burst": 4.0, "worth_factor": 1.0, "over_cost": 1.0},
+    {"name": "ample", "refill": 1e6, "burst": 1e6, "worth_factor": 1.0},
 ]
 Behave = Callable[["SeenMessage"], bytes | None]
 
--- a/tests/crowding_client.py
+++ b/tests/crowding_client.py
@@ -8,7 +8,9 @@
 import asyncio
 import contextlib
 import itertools
+import os
 import socket
+import struct
 import sys
 import time
 from collections.abc import Awaitable, Callable
@@ -22,6 +24,10 @@
 PACED_BYTES = 6400  # at PACE_S: 64 kB/s
 FIELDS = 4000
 PIPELINED = 300
+HEAD_PIECE_BYTES = 2 * 1024
+HEAD_PIECES = 15
+RESET_AFTER_READS = 3
+ENDLESS_PIECE = b"v" * 32 * 1024
 request_numbers = itertools.count()
 
 
@@ -52,6 +58,11 @@
         """Wait for an answer, or for the end of the connection."""
         await self._loop.sock_recv(self._socket, 2**16)
 
+    async def receive_some(self) -> None:
+        """Read once at 64 kB/s."""
+        await self._loop.sock_recv(self._socket, PACED_BYTES)
+        await asyncio.sleep(PACE_S)
+
     async def receive_slowly(self) -> None:
         """Read at 64 kB/s until the connection or the time ends."""
         while time.monotonic() < self.until and await self._loop.sock_recv(self._socket, PACED_BYTES):
@@ -60,16 +71,26 @@
     def close(self) -> None:
         self._socket.close()
 
+    def reset(self) -> None:
+        """Close so that the other side sees a reset."""
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self._socket.close()
+
+
+def request_id() -> bytes:
+    return b"crowd-%d-%d" % (os.getpid(), next(request_numbers))
+
 
-def put(length: int | None = None) -> bytes:
+def put(length: int | None = None, target: str = "", plan: str = "ample") -> bytes:
     """The head of a request whose body has this length, or is chunked."""
-    rid = b"crowd-%d" % next(request_numbers)
     more = CHUNKED if length is None else f"Content-Length: {length}\r\n"
-    return message("put", drop="Content-Length", more=more, rid=rid)
+    return message("put", plan=plan, drop="Content-Length", more=more, rid=request_id(), target=target)
 
 
-def get(more: str = "", target: str = "") -> bytes:
-    return message(rid=b"crowd-%d" % next(request_numbers), more=more, target=target)
+def get(more: str = "", target: str = "", answer: str = "") -> bytes:
+    if answer:
+        target = f"/api/00000000b4d65521?answer={answer}"
+    return message(plan="ample", rid=request_id(), more=more, target=target)
 
 
 async def slow_body(client: Client) -> None:
@@ -113,6 +134,81 @@
     await asyncio.sleep(max(client.until - time.monotonic(), 0.0))
 
 
+async def slow_upload(client: Client) -> None:
+    await client.send(put(LONG_BODY_BYTES))
+    await client.send_slowly(b"x" * LONG_BODY_BYTES)
+    await client.receive()
+
+
+async def refused_upload(client: Client) -> None:
+    """Go on with a long body for seconds though the request was refused at its begin."""
+    await client.send(put(LONG_BODY_BYTES, plan="small"))
+    await client.send_slowly(b"x" * LONG_BODY_BYTES)
+
+
+async def upload_that_nobody_reads(client: Client) -> None:
+    await client.send(put(LONG_BODY_BYTES, target="/api/00000000b4d65521?answer=unread"))
+    await client.send(b"x" * LONG_BODY_BYTES)
+    await client.receive()
+
+
+async def head_without_end(client: Client) -> None:
+    await client.send(get(more="".join(f"{number:x}:\r\n" for number in range(FIELDS)))[:-2])
+    await client.receive()
+
+
+async def slow_head(client: Client) -> None:
+    """A head of one long value, which comes in pieces and never ends."""
+    await client.send(get()[:-2] + b"X-Long: ")
+    for _ in range(HEAD_PIECES):
+        await client.send(b"v" * HEAD_PIECE_BYTES)
+        await asyncio.sleep(PACE_S)
+    await client.receive()
+
+
+async def endless_trailer(client: Client) -> None:
+    """A trailer of one value without end, as fast as it goes."""
+    await client.send(put() + b"1\r\nx\r\n0\r\nX-Long: ")
+    while time.monotonic() < client.until:
+        await client.send(ENDLESS_PIECE)
+        await asyncio.sleep(PACE_S)
+
+
+async def slow_trailer(client: Client) -> None:
+    await client.send(put() + b"1\r\nx\r\n0\r\n")
+    await client.send_slowly(b"".join(b"%x:\r\n" % number for number in range(10 * FIELDS)))
+    await client.receive()
+
+
+async def reset_within_an_answer(client: Client) -> None:
+    await client.send(get(answer="long"))
+    for _ in range(RESET_AFTER_READS):
+        await client.receive_some()
+    client.reset()
+
+
+def reader(answer: str) -> Callable[[Client], Awaitable[None]]:
+    """A client that reads an answer of this kind of the stand-in servers at 64 kB/s."""
+
+    async def read(client: Client) -> None:
+        await client.send(get(answer=answer))
+        await client.receive_slowly()
+
+    read.__name__ = f"reader_of_{answer}"
+    return read
+
+
+async def many_with_medium_answers_at_once(client: Client) -> None:
+    await client.send(b"".join(get(answer="medium") for _ in range(PIPELINED)))
+    await client.receive_slowly()
+
+
+async def many_with_fields_at_once(client: Client) -> None:
+    await client.send(b"".join(get(answer="long_fields") for _ in range(PIPELINED)))
+    await client.receive_slowly()
+
+
+# With the simple stand-in servers of `GatewayRig`.
 KINDS: dict[str, Callable[[Client], Awaitable[None]]] = {
     kind.__name__: kind
     for kind in (
@@ -126,15 +222,53 @@
         many_at_once,
     )
 }
+# With the stand-in servers of `crowd_servers`.
+CROWD_KINDS: dict[str, Callable[[Client], Awaitable[None]]] = {
+    **KINDS,
+    **{
+        kind.__name__: kind
+        for kind in (
+            slow_upload,
+            refused_upload,
+            upload_that_nobody_reads,
+            head_without_end,
+            slow_head,
+            slow_trailer,
+            endless_trailer,
+            reset_within_an_answer,
+            many_with_fields_at_once,
+            many_with_medium_answers_at_once,
+            *map(
+                reader,
+                (
+                    "long",
+                    "chunks",
+                    "until_close",
+                    "short_fields",
+                    "long_fields",
+                    "slow_fields",
+                    "slow_value",
+                    "slow_body",
+                    "endless_value",
+                    "endless_trailer",
+                ),
+            ),
+        )
+    },
+}
+ALL_KINDS = "all"  # each connection has the next kind, and another one after its end
 
 
-async def run_again(port: int, kind: str, until: float) -> None:
+async def run_again(port: int, kind: str, until: float, number: int) -> None:
     """Do the same on one connection after the other."""
-    while time.monotonic() < until:
+    kinds = itertools.cycle(CROWD_KINDS if kind == ALL_KINDS else (kind,))
+    for own_kind in itertools.islice(kinds, number % len(CROWD_KINDS), None):
+        if time.monotonic() >= until:
+            return
         client = Client(until)
         with contextlib.suppress(OSError):
             await client.connect(port)
-            await KINDS[kind](client)
+            await CROWD_KINDS[own_kind](client)
         client.close()
         await asyncio.sleep(0)
 
@@ -143,7 +277,7 @@
     until = time.monotonic() + seconds
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(seconds):
-            await asyncio.gather(*[run_again(port, kind, until) for _ in range(connections)])
+            await asyncio.gather(*[run_again(port, kind, until, number) for number in range(connections)])
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/drive_crowds.py
@@ -0,0 +1,66 @@
+"""Drives gateways with crowds of clients and prints the peaks of their memory; for runs by hand.
+
+Example: PYTHONPATH=.:tests python tests/drive_crowds.py --memory 32 --sockets 1024 slow_upload all:kill
+
+Each argument is a kind of `crowding_client`, or "all" for all kinds at once, with a disturbance of
+`crowd_rig` after a colon. The exit status is 1 if a gateway ended or passed its limit.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import sys
+import tempfile
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+import uvloop
+from crowd_rig import DISTURBANCES, MB, CrowdRig, crowd, stand_in_servers
+from crowding_client import ALL_KINDS, CROWD_KINDS
+
+CLIENT_SHARE = 1 / 3  # of the descriptors of one gateway
+
+
+async def drive(work: str, arguments: argparse.Namespace) -> bool:
+    """Let one crowd loose on each gateway; returns whether all stayed within their memory."""
+    kind, _, disturbance = work.partition(":")
+    connections = arguments.clients or int(CLIENT_SHARE * arguments.sockets)
+    async with AsyncExitStack() as stack:
+        ports = await stack.enter_async_context(stand_in_servers())
+        rigs = []
+        for _ in range(arguments.gateways):
+            folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+            rig = CrowdRig(folder, ports, memory_mb=arguments.memory, sockets=arguments.sockets)
+            rigs.append(await stack.enter_async_context(rig))
+        await asyncio.gather(
+            *(crowd(rig, kind, connections, arguments.seconds, disturbance or "none") for rig in rigs)
+        )
+        has_ended = any(rig.process.returncode is not None for rig in rigs)
+        peaks = [rig.peak.highest / MB for rig in rigs]
+        is_within = not has_ended and max(peaks) <= arguments.memory
+        words = ["ok  " if is_within else "OVER", f"{work:34}", f"{connections} clients"]
+        words += [f"at rest {rigs[0].peak.at_rest / MB:.1f}", "peaks", *(f"{peak:.1f}" for peak in peaks)]
+        print(*words, "ENDED" if has_ended else "", flush=True)
+        if arguments.verbose:
+            metrics = await rigs[0].metrics()
+            print({name: value for name, value in metrics.items() if "bytes" in name or "bodies" in name})
+        return is_within
+
+
+async def main(arguments: argparse.Namespace) -> int:
+    works = arguments.work or [*CROWD_KINDS, *(f"{ALL_KINDS}:{name}" for name in DISTURBANCES)]
+    within = [await drive(work, arguments) for work in works]
+    return 0 if all(within) else 1
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("work", nargs="*")
+    parser.add_argument("--memory", type=int, default=32, help="memory_mb of the gateways")
+    parser.add_argument("--sockets", type=int, default=1024, help="descriptors of each gateway")
+    parser.add_argument("--gateways", type=int, default=1)
+    parser.add_argument("--clients", type=int, default=0, help="default: a third of the descriptors")
+    parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--verbose", action="store_true", help="print metrics of the first gateway")
+    sys.exit(uvloop.run(main(parser.parse_args())))
