Discard the rest of a long body once its request has ended

Callers saw a process killed for memory: clients that go on sending a long body after it was refused, timed out or given up made it hold all that they sent, up to 32 MB each.

Class: bytes without an owner that counts them.

Change: what comes for a closed upload is dropped, and what the message holds is dropped when it closes.

--- a/tests/crowd_rig.py
+++ b/tests/crowd_rig.py
@@ -1,4 +1,4 @@
-"""Gateways under crowds of clients, with stand-in servers in a process of their own; their peaks of memory."""
+"""Gateways under crowds of clients, with stand-in servers in another process, and their peaks of memory."""
 
 from __future__ import annotations
 
--- a/tests/test_released_memory.py
+++ b/tests/test_released_memory.py
@@ -238,3 +238,20 @@
         assert transport.is_aborted
 
     run_on_loop(scenario)
+
+
+# Guards against: the rest of a long body was kept, after its request had been answered (issue 57).
+def test_the_rest_of_a_long_body_is_discarded_after_its_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        core, script = await core_with(monkeypatch, FakeHttpServer(silent))
+        monkeypatch.setattr(ClientConnection, "has_hung_up", lambda connection: False)
+        connection = ClientConnection(ClientListener(core, asyncio.get_running_loop(), 100))
+        connection.connection_made(FullTransport(connection))
+        script.plan[api.Request] = [api.Refuse("r1", 0.0, "quota")]
+        connection.data_received(long_request()[: len(LONG_BODY) // 2])
+        assert connection.answered_count == 1
+        connection.data_received(LONG_BODY[: len(LONG_BODY) // 4])
+        assert not connection._message.body and connection._message.body_bytes
+        core.stop()
+
+    run_on_loop(scenario)
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -443,6 +443,8 @@
 
     def _discard_upload(self, upload: Upload) -> None:
         self._open_uploads = tuple(other for other in self._open_uploads if other is not upload)
+        if self._message is not None and self._message.upload is upload:
+            self._message.body.clear()
 
     def connection_lost(self, exc: Exception | None) -> None:
         if self._close_timer is not None:
@@ -589,9 +591,11 @@
         elif message.method == b"GET":
             self._fail_message(400)
         else:
-            message.body += data
             if message.upload is not None:
+                if not message.upload.is_closed:  # else the rest of the body is discarded
+                    message.body += data
                 return
+            message.body += data
             if message.body_bytes > MAX_BUFFERED_BODY_BYTES:
                 self._start_upload(message)
             elif not self._reserve_chunked(message):
