--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -90,7 +90,7 @@
 
 
 def test_json_formatter_is_not_imported_by_default_and_invalid_log_format_is_refused(tmp_path: Path) -> None:
-    code = "import sys, yewstage.__main__; sys.exit('pythonjsonlogger' in sys.modules)"
+    code = "import sys, yewstage.net.process; sys.exit('pythonjsonlogger' in sys.modules)"
     assert subprocess.run([sys.executable, "-c", code], cwd=ROOT, check=False).returncode == 0
     path = tmp_path / "config.json"
     path.write_text(
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -203,7 +203,7 @@
 
 def test_membership_is_not_imported_without_peers() -> None:
     code = (
-        "import sys, yewstage.__main__; from yewstage.net.config import parse; "
+        "import sys, yewstage.net.process; from yewstage.net.config import parse; "
         "parse({'listen': 'h:1', 'discovery': 'h:2', 'seed': '1', 'settings': {'grades': "
         "[{'name': 'a', 'objective_ms': 1.0, 'deadline_ms': 2.0, 'effect': 'safe'}], "
         "'packages': [{'name': 'p'}]}}); "
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 import pytest
-from conftest import run_on_loop
+from conftest import GatewayRig, run_on_loop, serve
 from crowd_rig import DISTURBANCES, MB, CrowdRig, crowd, stand_in_servers
 from crowding_client import ALL_KINDS, CROWD_KINDS
 
@@ -46,3 +46,14 @@
     tmp_path: Path, disturbance: str, sockets: int
 ) -> None:
     check_memory_limit(tmp_path, ALL_KINDS, sockets, DISTURBED_CROWD_S, disturbance)
+
+
+# Guards against: a third of the least memory went to a library that nothing in the process uses.
+def test_the_process_loads_no_tls_library(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with GatewayRig(tmp_path, serve) as rig:
+            mapped = Path(f"/proc/{rig.process.pid}/maps").read_text()
+            assert "libpython" in mapped or "python3" in mapped
+            assert "libssl" not in mapped and "libcrypto" not in mapped
+
+    run_on_loop(scenario)
