Count all input as held until the parser has passed it on

Callers saw a process killed for memory: one header field or trailer without end, of a client or a server, is held by the parser and was neither counted nor limited until it was complete. A closing connection kept what its parser and its unfinished request held, uncounted, until the connection ended.

Cause: what a parser holds was counted by the callbacks that it makes, and it makes none before a field is complete; of a trailer nothing was counted. Class: bytes that count as held only once somebody reports them.

Change: parser_input: each read counts as held, up to what the parser has demonstrably passed on; clients, servers' answers and the calls of http_server use it. Above the limit of a head the connection is rejected, and where the memory budget has no room for a request's unfinished head or trailer, too. A connection that takes no further request drops its parser and its unfinished request. Fields of an answer's trailer are not kept.

--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -15,6 +15,7 @@
 from yewstage.net.delivery import Delivery
 from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES, limit_socket_buffer
 from yewstage.net.loop_monitor import STALL_THRESHOLD_S, ReadGap
+from yewstage.net.parser_input import ParserInput
 from yewstage.net.pool import Source
 from yewstage.net.receive_buffer import CHUNKED_READ_BYTES, READ_BYTES, receive_buffer, received_bytes
 from yewstage.net.request_queue import REQUEST_OVERHEAD_BYTES, RequestQueue, buffered_bytes
@@ -29,7 +30,7 @@
 if TYPE_CHECKING:
     from yewstage.net.client_listener import ClientListener
 
-MAX_HEAD_BYTES = 32 * 1024
+MAX_HEAD_BYTES = 32 * 1024  # of one request; the same holds for its trailer
 HEAD_TIMEOUT_S = 2.2  # for a complete head; a connection's first one counts from its opening
 BODY_GRACE_S = 0.7  # how far a body may fall behind MIN_BODY_BYTES_PER_S
 MIN_BODY_BYTES_PER_S = 64_000.0
@@ -104,7 +105,7 @@
         "_open_request_bytes",
         "_read_paused_at_s",
         "_write_blocked_at_s",
-        "_head_bytes",
+        "_parser_input",
         "_is_replaying_head",
         "answered_count",
         "phase_started_at_s",
@@ -146,7 +147,7 @@
         self._open_request_bytes = 0  # head and body of the request being processed
         self._read_paused_at_s: float | None = None  # None: reading
         self._write_blocked_at_s: float | None = None  # None: the write buffer is empty
-        self._head_bytes = 0  # received of the current head
+        self._parser_input = ParserInput(MAX_HEAD_BYTES)
         self._is_replaying_head = False  # a new parser is fed a head it must not report
         self.answered_count = 0
         # When the connection was opened, became idle, or began to receive its latest message.
@@ -208,14 +209,12 @@
             self._withdraw_arrival()
         self._process_queue()
         self._request_account.set(self._buffered_request_bytes())
-        if self._message is not None:
-            self._check_head_memory()
+        if self._parser_input.bytes and not self._is_closing:
+            self._check_parser_memory()
 
-    def _check_head_memory(self) -> None:
-        """Refuse a request that is too much for the memory left before its head is complete."""
-        if self._message.head_complete_at_s or self._is_closing:
-            return
-        if not self._core.budget.admits(self._head_bytes, more_bytes=0):
+    def _check_parser_memory(self) -> None:
+        """Refuse a request whose incomplete head, or trailer, is too much for the memory left."""
+        if not self._core.budget.admits(self._parser_input.bytes, more_bytes=0):
             self._core.budget.refused_count += 1
             self._fail_message(503)
             self._process_queue()
@@ -289,34 +288,42 @@
 
     def _buffered_request_bytes(self) -> int:
         """Bytes of requests in memory: being received, queued, or awaiting their answer."""
-        size = self._open_request_bytes + self._pending_requests.bytes
+        size = self._open_request_bytes + self._pending_requests.bytes + self._parser_input.bytes
         if self._message is None or self._message.upload is not None or self._is_closing:
             return size  # what is streamed is either queued or open
-        size += buffered_bytes(self._message)
-        if self._message.head_complete_at_s:
-            return size
-        return size + max(self._head_bytes - self._message.head_bytes, 0)  # in the parser
+        return size + buffered_bytes(self._message)
 
     def _feed_parser(self, data: bytes) -> None:
-        in_body = self._message is not None and self._message.head_complete_at_s
-        self._head_bytes += 0 if in_body else len(data)
+        self._parser_input.feed(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as upgrade:
             self._resume_parsing(data[upgrade.args[0] :])
         except httptools.HttpParserError:
             self._fail_message(400)
-        if self._head_bytes > MAX_HEAD_BYTES:
-            self._fail_message(400)  # otherwise an endless head fills the memory
+        message = self._message
+        if message is None or (message.head_complete_at_s and message.content_length is not None):
+            self._parser_input.clear()
+        elif self._parser_input.is_too_long():
+            self._fail_message(400)  # otherwise an endless head or trailer fills the memory
+
+    def _stop_parsing(self) -> None:
+        """Take no further request on this connection, and release what is held of the one being received."""
+        self._is_closing = True
+        self._parser = None  # with what it holds; one that is being fed lives until then
+        self._parser_input.clear()
+        if self._message is not None:
+            self._message.forget()
 
     def _resume_parsing(self, rest: bytes) -> None:
         """Continue after a request with an Upgrade header, at which httptools stops parsing.
 
         The gateway ignores Upgrade. A new parser reads the body; a replayed head tells it the framing.
         """
-        self._parser = httptools.HttpRequestParser(self)
         if self._is_closing:
             return
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser_input.clear()
         message = self._message
         if message is not None:  # its body follows
             framing = (
@@ -427,7 +434,7 @@
 
     def _release_requests(self) -> None:
         """Drop the queued requests and what is held of bodies: nothing more is begun for this client."""
-        self._is_closing = True
+        self._stop_parsing()
         self._drop_queued_requests()
         for upload in self._open_uploads:
             upload.close()
@@ -456,7 +463,7 @@
         self._answer_account.end()
         self._release_open_request()
         # These refer to the connection, and would keep it in memory until the next collection of cycles.
-        self._parser = self._message = self._current_request = None
+        self._message = self._current_request = None
 
     def _release_open_request(self) -> None:
         """Cancel the open request, if there is one, as abandoned by its client."""
@@ -493,7 +500,7 @@
         message.head_complete_at_s = self._listener.now()
         message.set_request_line(self._parser.get_method(), self._parser.get_http_version())
         message.keep_alive = self._parser.should_keep_alive()
-        self._head_bytes = 0
+        self._parser_input.pass_on()
         status = self._validate_head(message)
         if status:
             self._reject(status)
@@ -585,6 +592,7 @@
         message = self._message
         if self._is_closing:
             return
+        self._parser_input.pass_on(len(data))
         message.body_bytes += len(data)
         if message.body_bytes > self._listener.max_upload_bytes:
             self._fail_message(413)
@@ -625,7 +633,7 @@
         if self._parser.should_upgrade() and message.content_length != 0:
             return  # the parser skips the body: see `_resume_parsing`
         self._message = None
-        self._head_bytes = 0
+        self._parser_input.pass_on()
         message.is_complete = True
         message.arrived_at_s = self._read_arrived_at_s
         if message.upload is not None:
@@ -641,10 +649,8 @@
     def _reject(self, status: int) -> None:
         """Queue an error answer behind the earlier requests and stop parsing."""
         if not self._is_closing:
-            self._is_closing = True
+            self._stop_parsing()
             self._pending_requests.append(status)
-            if self._message is not None:
-                self._message.forget()
             self._request_account.set(self._buffered_request_bytes())
 
     def _fail_message(self, status: int) -> None:
@@ -666,7 +672,7 @@
     def _end_open_request(self, status: int) -> None:
         """Cancel the open request, whose body was not sent whole, and answer it as the last one."""
         self._release_open_request()
-        self._is_closing = True
+        self._stop_parsing()
         self._answer_and_close(status)
 
     def _update_reading(self) -> None:
@@ -761,7 +767,8 @@
 
     def _answer_and_close(self, status: int) -> None:
         """Answer a readiness check or an invalid request; close if nothing follows it, to make room."""
-        self._is_closing = self._is_closing or (self._message is None and not self._pending_requests.count)
+        if self._message is None and not self._pending_requests.count:
+            self._stop_parsing()
         self.answer(status, retry_after_ms=RETRY_AFTER_MS if status == 503 else 0.0)
 
     def _should_keep_alive(self) -> bool:
@@ -863,7 +870,7 @@
         The missing end shows the client that the answer is incomplete; without any framing only a reset does.
         """
         self._finish_request()
-        self._is_closing = True
+        self._stop_parsing()
         (self.transport.close if self._is_self_delimited else self.transport.abort)()
 
     def _write(self, data: bytes) -> None:
@@ -886,7 +893,7 @@
             or message.upload is None
             or message is not self._current_request
         ):
-            self._is_closing = True
+            self._stop_parsing()
             self._drop_queued_requests()
             self.transport.write_eof()
             self._linger()
--- a/yewstage/net/http1.py
+++ b/yewstage/net/http1.py
@@ -10,10 +10,12 @@
 
 import httptools
 
+from yewstage.net.parser_input import ParserInput
 from yewstage.net.receive_buffer import READ_BYTES, receive_buffer, received_bytes
 from yewstage.net.stats import DescriptorUse
 
 MAX_BUFFERED_BODY_BYTES = 64 * 1024  # bytes buffered whole; longer bodies are streamed
+MAX_ANSWER_HEAD_BYTES = 128 * 1024  # of one answer; the same holds for its trailer
 SOCKET_BUFFER_BYTES = 128 * 1024  # kernel buffer of a socket that carries a streamed body, per direction
 MAX_HEADER_FIELDS = 256  # of one message, as each field takes memory beside its text
 MAX_LIST_BYTES = 4 * 1024 * 1024  # bytes of an answer with a list of servers
@@ -117,6 +119,7 @@
         self.has_unsent_data = False  # the write buffer is not empty
         self.close_cause = ""  # for the log
         self._parser = httptools.HttpResponseParser(self)
+        self._parser_input = ParserInput(MAX_ANSWER_HEAD_BYTES)
         self._max_body_bytes = max_body_bytes
         self._reset()
 
@@ -168,11 +171,17 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what was read."""
+        self._parser_input.feed(len(data))
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.close_cause = f"{error} in {data[:64]!r}"
             self.abort()  # not HTTP/1.1: the open request ends as a reset
+        if not self.has_begun or (self._in_body and b"content-length" in self._headers):
+            self._parser_input.clear()
+        elif self._parser_input.is_too_long():
+            self.close_cause = self.close_cause or "head or trailer too long"
+            self.abort()  # otherwise one without end fills the memory
 
     def eof_received(self) -> None:
         framed = b"content-length" in self._headers or b"transfer-encoding" in self._headers
@@ -192,6 +201,8 @@
         self.has_begun = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self._in_body:
+            return  # of a trailer
         self._headers[name.lower()] = value
         if len(self._headers) > MAX_HEADER_FIELDS:
             self.close_cause = "too many header fields"
@@ -200,8 +211,10 @@
 
     def on_headers_complete(self) -> None:
         self._in_body = True
+        self._parser_input.pass_on()
 
     def on_body(self, data: bytes) -> None:
+        self._parser_input.pass_on(len(data))
         self._body += data
         self._count_received_bytes(len(data))
 
--- a/yewstage/net/http_server.py
+++ b/yewstage/net/http_server.py
@@ -14,6 +14,7 @@
 
 import httptools
 
+from yewstage.net.parser_input import ParserInput
 from yewstage.net.stats import DescriptorUse
 
 MAX_HEAD_BYTES = 16 * 1024
@@ -146,14 +147,15 @@
         self._listener = listener
         self.transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._url, self._body, self._head_bytes = b"", b"", 0
+        self._parser_input = ParserInput(MAX_HEAD_BYTES)
+        self._url, self._body = b"", b""
         # Queued calls, and whether the connection stays open after each.
         self._calls: deque[tuple[HttpRequest, bool]] = deque()
         self._keeps_alive = False  # after the call being processed
         self._is_closing = False
         self.busy = False  # a call awaits its answer
-        # A call is being received; its head is; a call has been answered.
-        self._is_receiving = self._is_receiving_head = self._was_answered = False
+        # A call is being received; a call has been answered.
+        self._is_receiving = self._was_answered = False
         # When the connection was opened, became idle, or began to receive a call.
         self._phase_started_at_s = 0.0
         self._write_blocked_at_s: float | None = None  # None: the caller reads its answer
@@ -170,6 +172,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._is_closing = True
         self._calls.clear()
+        self._parser = None  # which refers to the connection, and would keep it until a collection of cycles
         self._listener.closed(self)
         on_disconnect, self.on_disconnect = self.on_disconnect, None
         if on_disconnect is not None:
@@ -184,14 +187,15 @@
     def data_received(self, data: bytes) -> None:
         if self._is_closing:
             return
+        self._parser_input.feed(len(data))
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._reject(400, "not HTTP/1.1")
-        if self._is_receiving_head:
-            self._head_bytes += len(data)
-            if self._head_bytes > MAX_HEAD_BYTES and not self._is_closing:
-                self._reject(400, "its head is too long")
+        if not self._is_receiving:
+            self._parser_input.clear()
+        elif self._parser_input.is_too_long() and not self._is_closing:
+            self._reject(400, "its head or trailer is too long")
         if len(self._calls) > MAX_QUEUED_CALLS:
             self._listener.drop(self)
         self._process_calls()
@@ -199,8 +203,8 @@
     # httptools
 
     def on_message_begin(self) -> None:
-        self._url, self._body, self._head_bytes = b"", b"", 0
-        self._is_receiving = self._is_receiving_head = True
+        self._url, self._body = b"", b""
+        self._is_receiving = True
         if self._was_answered and not self.busy:
             self._phase_started_at_s = self._listener.loop.time()
 
@@ -208,15 +212,16 @@
         self._url += url
 
     def on_headers_complete(self) -> None:
-        self._is_receiving_head = False
+        self._parser_input.pass_on()
 
     def on_body(self, data: bytes) -> None:
+        self._parser_input.pass_on(len(data))
         self._body += data
         if len(self._body) > MAX_BODY_BYTES:
             self._reject(413, "its body is too long")
 
     def on_message_complete(self) -> None:
-        self._is_receiving = self._is_receiving_head = False
+        self._is_receiving = False
         if self._is_closing:
             return
         try:
--- a/yewstage/net/pool.py
+++ b/yewstage/net/pool.py
@@ -692,6 +692,7 @@
         ):
             self._begin_stream()
         if self._stream is not None:
+            self._parser_input.pass_on(len(data))
             self._unpassed.append(data)
         elif self._pending_reply is None:  # otherwise the result is known already
             super().on_body(data)
