Keep what is held of servers' answers within the memory budget

Callers saw a process killed for memory: answers with many fields, and heads and short bodies that come slowly or never end, were held whatever the budget said.

Cause: a link counted what it held and nobody compared it with the budget; all fields of a head were kept, each as three objects; the unfinished trailer of a streamed answer was not counted. Class: counted, and not bounded.

Change: only the six headers that the gateway reads are kept. After each read the link asks the budget for what it holds more than before: without room a body is streamed to its client, as long ones are, and a head or a trailer is given up, with the new reason no_memory. Not chosen: to pause such links, as what they hold would stay held until their requests time out, and those that could end would wait behind them.

--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -213,7 +213,12 @@
             self._check_parser_memory()
 
     def _check_parser_memory(self) -> None:
-        """Refuse a request whose incomplete head, or trailer, is too much for the memory left."""
+        """Refuse a request whose incomplete head, or trailer, is too much for the memory left.
+
+        Of a streamed body in very short chunks most is framing, which the parser does not keep.
+        """
+        if self._open_uploads and self._parser_input.has_passed_on:
+            return
         if not self._core.budget.admits(self._parser_input.bytes, more_bytes=0):
             self._core.budget.refused_count += 1
             self._fail_message(503)
--- a/yewstage/net/http1.py
+++ b/yewstage/net/http1.py
@@ -5,7 +5,7 @@
 import asyncio
 import errno
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 import httptools
@@ -113,6 +113,8 @@
     An answer that exceeds `max_body_bytes` and the allowance for its head aborts the connection.
     """
 
+    kept_headers: Collection[bytes] | None = None  # names in lower case of those to keep; None: all
+
     def __init__(self, max_body_bytes: int = MAX_BUFFERED_BODY_BYTES) -> None:
         self.transport: asyncio.Transport | None = None
         self.use: DescriptorUse | None = None  # the count that includes its descriptor
@@ -150,6 +152,11 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def held_bytes(self) -> int:
+        """Return the bytes of the present answer in memory, whether they are parsed or not."""
+        kept_bytes = sum(len(name) + len(value) for name, value in self._headers.items())
+        return self._parser_input.bytes + kept_bytes + len(self._body)
+
     def max_read_bytes(self) -> int:
         """Return how many bytes to read at once."""
         return READ_BYTES
@@ -203,7 +210,10 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._in_body:
             return  # of a trailer
-        self._headers[name.lower()] = value
+        name = name.lower()
+        if self.kept_headers is not None and name not in self.kept_headers:
+            return
+        self._headers[name] = value
         if len(self._headers) > MAX_HEADER_FIELDS:
             self.close_cause = "too many header fields"
             self.abort()
--- a/yewstage/net/parser_input.py
+++ b/yewstage/net/parser_input.py
@@ -10,21 +10,24 @@
     all input counts as held from the moment it is fed, up to what the parser is known to have passed on.
     """
 
-    __slots__ = ("bytes", "_max_bytes", "_of_this_read")
+    __slots__ = ("bytes", "has_passed_on", "_max_bytes", "_of_this_read")
 
     def __init__(self, max_bytes: int) -> None:
         """`max_bytes` is the most that a head or a trailer may have."""
         self._max_bytes = max_bytes
         self.bytes = 0
+        self.has_passed_on = False  # something, since the last input came
         self._of_this_read = 0  # the last input, less what was passed on of it
 
     def feed(self, size: int) -> None:
         """Note input, right before the parser is fed with it."""
         self.bytes += size
+        self.has_passed_on = False
         self._of_this_read = size
 
     def pass_on(self, size: int = 0) -> None:
         """Note that the parser has passed on a part of a body, or the end of a head: all input before it."""
+        self.has_passed_on = True
         self._of_this_read -= size
         self.bytes = self._of_this_read
 
--- a/yewstage/net/pool.py
+++ b/yewstage/net/pool.py
@@ -67,6 +67,7 @@
     "server_silent",
 )
 DIED_IDLE, BROKE, STALLED, STOPPED = "died_idle", "broke", "stalled", "stopped"
+NO_MEMORY = "no_memory"
 DIAL_RESULTS = (UP, FAILED, TIMED_OUT, DIAL_NO_DESCRIPTOR, CANCELLED)
 CLOSE_REASONS = (
     IDLE_LIMIT,
@@ -81,6 +82,11 @@
     BROKE,
     STALLED,
     STOPPED,
+    NO_MEMORY,
+)
+# Headers of answers that the gateway reads or passes on; their connection's own are the parser's.
+ANSWER_HEADERS = frozenset(
+    (b"content-length", b"transfer-encoding", b"content-type", b"x-load", b"billed-units", b"x-not-run")
 )
 NO_START_TIMES: Mapping[str, float] = MappingProxyType({})
 
@@ -536,6 +542,8 @@
 class Link(ReplyProtocol):
     """One connection to a server, which carries one exchange at a time."""
 
+    kept_headers = ANSWER_HEADERS
+
     def __init__(self, pool: Pool, server: _Server) -> None:
         super().__init__()
         self._pool, self.server = pool, server
@@ -636,12 +644,32 @@
             )
             self._hold_timer = self._pool.loop.call_later(hold_s, self._on_hold_timeout)
         self._deliver_reply()
-        self._memory_account.set(0 if self._stream is not None else self._size)
+        self._update_memory()
         if len(data) == self._max_read_bytes and not self._is_waiting_for_turn:
             self._is_waiting_for_turn = True
             self._pool.turns.add(self)
             self._update_reading()
 
+    def _update_memory(self) -> None:
+        """Account for what is held of the answer.
+
+        Without room for it a body is streamed, and a head or a trailer is given up.
+        Of a streamed body in very short chunks most is framing, which the parser does not keep.
+        """
+        held_bytes = self.held_bytes() if self.has_begun else 0
+        is_framing = self._stream is not None and self._parser_input.has_passed_on
+        more_bytes = held_bytes - self._memory_account.bytes
+        if more_bytes <= 0 or is_framing or self._pool.budget.admits(held_bytes, more_bytes):
+            self._memory_account.set(held_bytes)
+            return
+        self._pool.budget.refused_count += 1
+        if self._in_body and self._stream is None:
+            self._begin_stream()
+            self._deliver_reply()
+        else:
+            self.close_cause = "no memory for its head or trailer"
+            self.abort(NO_MEMORY)
+
     def take_turn(self) -> None:
         """Read on after all other connections had the chance to."""
         self._is_waiting_for_turn = False
