Divide the memory of a process among all owners by one plan, and correct it by what is measured

Needed: the budget of held bytes was a fifth of what a fresh process leaves, whatever else took memory: up to 890 connections with 1,024 descriptors, the quotas of customers, ids of requests.

Change: memory_plan divides the limit, less what the process holds at rest, among the ids, the customers, a reserve, the connections, and the bytes of heads and bodies. A connection costs 5 KiB with its request, for whatever purpose it is open; with each that opens or closes the budget changes. Connections above what there is memory for are not accepted. process_memory compares the resident memory with the plan every 0.2 s: what is above its mark, whoever holds it, makes the budget smaller, and a line of the log names the owners. At the start a line tells the plan, and one warns of a limit that is too low. While two processes of an upgrade share the memory each plans with half of the limit.

Not chosen: to close connections above the mark, as requests that were taken would be lost; a budget with fewer pauses reading long before.

--- a/yewstage/net/client_listener.py
+++ b/yewstage/net/client_listener.py
@@ -136,9 +136,10 @@
             self._accept_gap.pause()
 
     def _max_connections(self) -> int:
-        return int(CLIENT_DESCRIPTOR_SHARE * self._socket_limit) // (
+        descriptors = int(CLIENT_DESCRIPTOR_SHARE * self._socket_limit) // (
             2 if self.core.is_sharing_descriptors else 1
         )
+        return min(descriptors, self.core.memory.plan.max_client_connections)
 
     def _has_room(self) -> bool:
         return len(self.connections) + len(self._accept_tasks) < self._max_connections()
@@ -229,6 +230,7 @@
         now = self.now()
         for connection in list(self.connections):
             connection.check_timeouts(now)
+        self.core.memory.check()
         self.core.budget.check()
         if not self._has_room():
             self._evict_connection()
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -21,13 +21,13 @@
 from yewstage import wire
 from yewstage.log import Event, JoinedList
 from yewstage.net.attempts import CLIENT_UNSEEN, Attempt, AttemptRunner
-from yewstage.net.budget import MemoryBudget
 from yewstage.net.config import Config
 from yewstage.net.counter import Counter
 from yewstage.net.discovery import ON_REQUEST_TIMEOUTS, PUSHED_TIMEOUTS, Discovery, Listing
 from yewstage.net.http1 import Reply
 from yewstage.net.loop_monitor import LoopMonitor
 from yewstage.net.pool import Source
+from yewstage.net.process_memory import ProcessMemory
 from yewstage.net.stats import THROTTLED_STATUSES, DescriptorUse, Stats
 from yewstage.net.upload import Upload
 from yewstage.policy import Gateway
@@ -44,17 +44,7 @@
 # Part of the descriptors that may be connections to servers: more than the third that clients may hold for
 # their requests, so that long answers to all of them leave some to others.
 UPSTREAM_SHARE = 0.37
-# Part of the memory left to a fresh process that buffered bodies may take. Each of their bytes costs three to
-# four bytes of memory.
-BODY_MEMORY_SHARE = 0.2
-MIN_BODY_BUDGET_BYTES = 2 * 2**20
-# Part of that memory for what customers have used of their quotas, and what one of them takes.
-CUSTOMER_MEMORY_SHARE = 0.2
-CUSTOMER_BYTES = 1536
-MIN_CUSTOMERS = 1000
-# For how long, and for how many requests, an id does not run again: longer than clients wait for an answer.
-REQUEST_ID_RETENTION_S = 60.0
-MAX_REQUEST_IDS = 4096
+REQUEST_ID_RETENTION_S = 60.0  # an id does not run again: longer than clients wait for an answer
 REPEATED_ID_STATUS = 409  # failed: it does not promise that the request has no effect
 TRANSIT_MS = 4.0  # allowance for the network time of a request and its answer
 GUARD_MARGIN_MS = 8.0  # the deadline guard answers this long before the client's deadline
@@ -180,20 +170,21 @@
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
         self.stats = Stats(c.name for c in config.settings.classes)
-        free_bytes = config.memory_mb * 2**20 - self.stats.process.memory_bytes()[0]
-        self._max_customers = max(int(CUSTOMER_MEMORY_SHARE * free_bytes) // CUSTOMER_BYTES, MIN_CUSTOMERS)
+        self.memory = ProcessMemory(int(config.memory_mb * 2**20), self.stats, loop.time)
+        self._max_customers = self.memory.plan.max_customers
         self.settings = dataclasses.replace(config.settings, max_customers=self._max_customers)
         self._loop = loop
         self._clock = Clock()
         self._gateway = Gateway(self.settings, config.seed)
-        self._max_server_connections = int(UPSTREAM_SHARE * config.sockets)
-        self._body_budget_bytes = max(int(BODY_MEMORY_SHARE * free_bytes), MIN_BODY_BUDGET_BYTES)
-        self.budget = MemoryBudget(self._body_budget_bytes, loop.time)
+        self._sockets = config.sockets
+        # During an upgrade two processes have half of the descriptors each.
+        self.is_sharing_descriptors = False
+        self.budget = self.memory.budget
         self.max_upload_bytes = config.max_upload_bytes
         uses = self.stats.descriptors.uses
         self._attempt_runner = AttemptRunner(
             loop,
-            self._max_server_connections,
+            self._max_server_connections(),
             config.dial_timeout_ms,
             config.idle_limit_ms,
             self,
@@ -225,7 +216,7 @@
         self._initial_listing = config.fallback_listing
         self._requests: dict[str, _OpenRequest] = {}
         self._open_ids: dict[str, _OpenRequest] = {}  # requests with an effect by their clients' ids
-        self._request_ids = RequestIds(REQUEST_ID_RETENTION_S, MAX_REQUEST_IDS)
+        self._request_ids = RequestIds(REQUEST_ID_RETENTION_S, self.memory.plan.max_request_ids)
         self._shared_ids: SharedRequestIds | None = None  # None: no other process can serve beside this one
         self._claims: dict[str, KeyClaim] = {}  # by request id; empty without a claim record
         self._unanswered = 0  # complete requests without an answer
@@ -238,8 +229,6 @@
         self.extra_metrics: Callable[[], Mapping[str, float]] = dict  # metrics of other components
         # draining: SIGTERM was received. _is_ending: everything was answered, new requests are refused.
         self.is_draining = self._is_ending = False
-        # During an upgrade two processes have half of the descriptors each.
-        self.is_sharing_descriptors = False
 
     def _create_claim_record(self) -> ClaimRecord:
         from yewstage.net.claim_record import ClaimRecord  # imported only where it is used, to save memory
@@ -275,6 +264,7 @@
         if self._counter is not None:
             self._counter.start()
         self.loop_monitor.start()
+        self.memory.log_plan()
 
     def reconfigure(self, config: Config) -> None:
         """Apply new settings, including new addresses of discovery and the counter."""
@@ -285,7 +275,7 @@
         )
         self.stats.add_classes(c.name for c in config.settings.classes)
         self._pool.set_timeouts(config.dial_timeout_ms, config.idle_limit_ms)
-        self._max_server_connections = int(UPSTREAM_SHARE * config.sockets)
+        self._sockets = config.sockets
         self.max_upload_bytes = config.max_upload_bytes
         self.share_descriptors(self.is_sharing_descriptors)
         self._post(api.Retuned(self.settings))
@@ -294,10 +284,15 @@
             self._counter.move(config.counter, config.settings.count_wait_ms)
 
     def share_descriptors(self, shared: bool) -> None:
-        """Use half of the descriptors and of the memory for bodies if `shared`, else all of them."""
+        """Use half of the descriptors and of the memory if `shared`, else all of them."""
         self.is_sharing_descriptors = shared
-        self._pool.set_max_links(self._max_server_connections // (2 if shared else 1))
-        self.budget.set_limit(self._body_budget_bytes // (2 if shared else 1))
+        self.memory.share(shared)
+        self._pool.set_max_links(self._max_server_connections())
+
+    def _max_server_connections(self) -> int:
+        """How many connections to servers the descriptors and the memory allow."""
+        descriptors = int(UPSTREAM_SHARE * self._sockets) // (2 if self.is_sharing_descriptors else 1)
+        return min(descriptors, self.memory.plan.max_server_connections)
 
     def share_request_ids(self, shared_ids: SharedRequestIds) -> None:
         """Use this for the request ids that the other process of an upgrade begins."""
@@ -379,6 +374,8 @@
             **{f'held_bytes{{use="{use}"}}': size for use, size in budget.held_bytes_by_purpose().items()},
             "held_bytes_peak": budget.peak_bytes,
             "held_bytes_limit": budget.limit_bytes,
+            "memory_limit_bytes": self.memory.plan.limit_bytes,
+            "memory_overshoot_bytes": self.memory.overshoot_bytes,
             "streams_open": budget.stream_count(),
             "streams_stopped_total": budget.pause_count,
             "bodies_refused_total": budget.refused_count,
--- a/yewstage/net/stats.py
+++ b/yewstage/net/stats.py
@@ -6,7 +6,7 @@
 import resource
 import sys
 import time
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 FULFILLED_STATUSES = frozenset((200,))
 THROTTLED_STATUSES = frozenset((429, 503))
@@ -55,11 +55,14 @@
     def __init__(self) -> None:
         self.uses = {name: DescriptorUse(self) for name in DESCRIPTOR_USES}
         self.held = self.peak = 0
+        self.on_change: Callable[[], None] | None = None  # called after each change of the total
 
     def add(self, change: int) -> None:
         """Add the change of one purpose to the total."""
         self.held += change
         self.peak = max(self.peak, self.held)
+        if self.on_change is not None:
+            self.on_change()
 
 
 class Process:
