--- a/tests/crowd_rig.py
+++ b/tests/crowd_rig.py
@@ -17,6 +17,9 @@
 SERVERS = 8
 SAMPLE_INTERVAL_S = 0.02
 KILL_INTERVAL_S = 3.0
+DOWN_S = 1.0  # before a killed process is started anew in a series
+SERIES_KILL_DELAY_S = 0.45  # from a start to the next kill of a series
+KILLS_IN_SERIES = 3
 RECONFIGURE_INTERVAL_S = 1.0  # also between changes of the list of servers
 TESTS = Path(__file__).parent
 
@@ -102,14 +105,26 @@
             self.sample()
             await asyncio.sleep(SAMPLE_INTERVAL_S)
 
+    async def _kill(self) -> None:
+        self.sample()
+        self.process.kill()
+        await self.process.wait()
+
     async def kill_and_restart(self) -> None:
         """Kill the process and start it anew, again and again."""
         while True:
             await asyncio.sleep(KILL_INTERVAL_S)
-            self.sample()
-            self.process.kill()
-            await self.process.wait()
+            await self._kill()
+            await self.launch()
+
+    async def kill_in_series(self) -> None:
+        """Kill the process some times, each time soon after its start, and then leave it alone."""
+        for _ in range(KILLS_IN_SERIES):
+            await asyncio.sleep(SERIES_KILL_DELAY_S)
+            await self._kill()
+            await asyncio.sleep(DOWN_S)
             await self.launch()
+        await asyncio.Event().wait()
 
     async def reconfigure(self) -> None:
         """Send SIGHUP again and again."""
@@ -131,6 +146,7 @@
 DISTURBANCES: dict[str, Callable[[CrowdRig], Awaitable[None]]] = {
     "none": CrowdRig.watch,
     "kill": CrowdRig.kill_and_restart,
+    "series": CrowdRig.kill_in_series,
     "sighup": CrowdRig.reconfigure,
     "list": CrowdRig.change_list,
 }
