Compute the parts of the memory plan once, and what an answer holds as it grows

Cause: each part of the plan was computed anew for each connection that opened or closed, from all parts before it, and what a link holds was summed up over the headers after each read.

--- a/yewstage/net/http1.py
+++ b/yewstage/net/http1.py
@@ -128,7 +128,7 @@
     def _reset(self) -> None:
         self._headers: dict[bytes, bytes] = {}
         self._body = bytearray()
-        self._size = 0
+        self._size = self._kept_header_bytes = 0
         self._in_body = self.has_begun = False
 
     def replied(self, reply: Reply, reusable: bool) -> None:
@@ -154,8 +154,7 @@
 
     def held_bytes(self) -> int:
         """Return the bytes of the present answer in memory, whether they are parsed or not."""
-        kept_bytes = sum(len(name) + len(value) for name, value in self._headers.items())
-        return self._parser_input.bytes + kept_bytes + len(self._body)
+        return self._parser_input.bytes + self._kept_header_bytes + len(self._body)
 
     def max_read_bytes(self) -> int:
         """Return how many bytes to read at once."""
@@ -214,6 +213,7 @@
         if self.kept_headers is not None and name not in self.kept_headers:
             return
         self._headers[name] = value
+        self._kept_header_bytes += len(name) + len(value)
         if len(self._headers) > MAX_HEADER_FIELDS:
             self.close_cause = "too many header fields"
             self.abort()
--- a/yewstage/net/memory_plan.py
+++ b/yewstage/net/memory_plan.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 # What a connection takes beside the bytes that it holds, with the request that it carries.
 CONNECTION_BYTES = 5 * 1024
 CUSTOMER_BYTES = 1536  # what a customer's use of its quota takes
@@ -23,7 +21,6 @@
 CLIENT_CONNECTION_SHARE = 0.5  # of the connections that there is memory for; the others lead to servers
 
 
-@dataclass(slots=True, frozen=True)
 class MemoryPlan:
     """Divides what a process may hold, `limit_bytes`, of which it holds `resident_bytes` at rest.
 
@@ -31,63 +28,51 @@
     `shortage_bytes` tells.
     """
 
-    limit_bytes: int
-    resident_bytes: int
-
-    @property
-    def free_bytes(self) -> int:
-        """What a process at rest leaves."""
-        return max(self.limit_bytes - self.resident_bytes, 0)
-
-    @property
-    def max_customers(self) -> int:
-        """Customers whose use of their quotas may be kept."""
-        return max(int(CUSTOMER_MEMORY_SHARE * self.free_bytes) // CUSTOMER_BYTES, MIN_CUSTOMERS)
-
-    @property
-    def max_request_ids(self) -> int:
-        """Ids of requests that are kept, so that they do not run again."""
-        affordable = int(REQUEST_ID_MEMORY_SHARE * self.free_bytes) // REQUEST_ID_BYTES
-        return min(max(affordable, MIN_REQUEST_IDS), MAX_REQUEST_IDS)
-
-    @property
-    def fixed_bytes(self) -> int:
-        """What is set aside, whatever the connections hold."""
-        return RESERVED_BYTES + self.max_customers * CUSTOMER_BYTES + self.max_request_ids * REQUEST_ID_BYTES
-
-    @property
-    def max_connections(self) -> int:
-        """Connections for which there is memory."""
-        left_bytes = self.free_bytes - self.fixed_bytes - MIN_BODY_BYTES * BYTES_PER_COUNTED_BYTE
-        return max(left_bytes // CONNECTION_BYTES, MIN_CONNECTIONS)
-
-    @property
-    def max_client_connections(self) -> int:
-        """Connections of clients for which there is memory."""
-        return int(CLIENT_CONNECTION_SHARE * self.max_connections)
-
-    @property
-    def max_server_connections(self) -> int:
-        """Connections to servers for which there is memory."""
-        return self.max_connections - self.max_client_connections
-
-    @property
-    def shortage_bytes(self) -> int:
-        """What the limit lacks for the least of all parts; 0 if it suffices."""
-        least_bytes = self.fixed_bytes + MIN_BODY_BYTES * BYTES_PER_COUNTED_BYTE
-        least_bytes += MIN_CONNECTIONS * CONNECTION_BYTES
-        return max(least_bytes - self.free_bytes, 0)
+    __slots__ = (
+        "limit_bytes",
+        "resident_bytes",
+        "free_bytes",
+        "max_customers",
+        "max_request_ids",
+        "fixed_bytes",
+        "max_connections",
+        "max_client_connections",
+        "max_server_connections",
+        "shortage_bytes",
+        "_left_bytes",
+        "_usual_body_bytes",
+    )
+
+    def __init__(self, limit_bytes: int, resident_bytes: int) -> None:
+        self.limit_bytes, self.resident_bytes = limit_bytes, resident_bytes
+        self.free_bytes = free_bytes = max(limit_bytes - resident_bytes, 0)
+        # Customers whose use of their quotas may be kept, and ids of requests that do not run again.
+        self.max_customers = max(int(CUSTOMER_MEMORY_SHARE * free_bytes) // CUSTOMER_BYTES, MIN_CUSTOMERS)
+        affordable_ids = int(REQUEST_ID_MEMORY_SHARE * free_bytes) // REQUEST_ID_BYTES
+        self.max_request_ids = min(max(affordable_ids, MIN_REQUEST_IDS), MAX_REQUEST_IDS)
+        # What is set aside, whatever the connections hold.
+        self.fixed_bytes = (
+            RESERVED_BYTES + self.max_customers * CUSTOMER_BYTES + self.max_request_ids * REQUEST_ID_BYTES
+        )
+        self._left_bytes = free_bytes - self.fixed_bytes
+        least_body_bytes = MIN_BODY_BYTES * BYTES_PER_COUNTED_BYTE
+        # Connections for which there is memory, to clients and to servers.
+        affordable_connections = (self._left_bytes - least_body_bytes) // CONNECTION_BYTES
+        self.max_connections = max(affordable_connections, MIN_CONNECTIONS)
+        self.max_client_connections = int(CLIENT_CONNECTION_SHARE * self.max_connections)
+        self.max_server_connections = self.max_connections - self.max_client_connections
+        # What the limit lacks for the least of all parts; 0 if it suffices.
+        least_bytes = least_body_bytes + MIN_CONNECTIONS * CONNECTION_BYTES
+        self.shortage_bytes = max(least_bytes - self._left_bytes, 0)
+        self._usual_body_bytes = max(int(BODY_MEMORY_SHARE * free_bytes), USUAL_MIN_BODY_BYTES)
 
     def body_bytes(self, connections: int, overshoot_bytes: int = 0) -> int:
         """Bytes of heads and bodies that may be held while there are so many connections.
 
         `overshoot_bytes` is what the process holds beyond what it should, whatever the cause.
         """
-        left_bytes = (
-            self.free_bytes - self.fixed_bytes - connections * CONNECTION_BYTES - overshoot_bytes
-        ) // BYTES_PER_COUNTED_BYTE
-        usual_bytes = max(int(BODY_MEMORY_SHARE * self.free_bytes), USUAL_MIN_BODY_BYTES)
-        return max(min(left_bytes, usual_bytes), MIN_BODY_BYTES)
+        left_bytes = self._left_bytes - connections * CONNECTION_BYTES - overshoot_bytes
+        return max(min(left_bytes // BYTES_PER_COUNTED_BYTE, self._usual_body_bytes), MIN_BODY_BYTES)
 
     def overshoot_bytes(self, resident_bytes: int) -> int:
         """What a process that holds this beyond its limit less half of the reserve."""
--- a/yewstage/net/pool.py
+++ b/yewstage/net/pool.py
@@ -656,7 +656,12 @@
         Without room for it a body is streamed, and a head or a trailer is given up.
         Of a streamed body in very short chunks most is framing, which the parser does not keep.
         """
-        held_bytes = self.held_bytes() if self.has_begun else 0
+        if self._stream is not None:
+            held_bytes = self._parser_input.bytes
+        else:
+            held_bytes = self.held_bytes() if self.has_begun else 0
+        if held_bytes == self._memory_account.bytes:
+            return
         is_framing = self._stream is not None and self._parser_input.has_passed_on
         more_bytes = held_bytes - self._memory_account.bytes
         if more_bytes <= 0 or is_framing or self._pool.budget.admits(held_bytes, more_bytes):
