Plan for the connections of a permitted crowd before they are open

Cause: the budget was larger while few connections were open. Bodies were admitted into it, the clients' other connections made it smaller, and above it nothing is admitted until those bodies have ended.

Change: the plan counts two thirds of the descriptors at the least, a third for clients' requests and as many to servers; only connections beyond that make the budget smaller.

--- a/tests/test_memory_plan.py
+++ b/tests/test_memory_plan.py
@@ -45,12 +45,13 @@
 @given(
     limit_mb=st.integers(LEAST_MEMORY_MB, MOST_MEMORY_MB),
     resident_bytes=st.integers(10 * MB, 200 * MB),
+    sockets=st.integers(LEAST_SOCKETS, MOST_SOCKETS),
     connections=st.integers(0, MOST_SOCKETS),
 )
 def test_all_parts_together_stay_within_the_limit(
-    limit_mb: int, resident_bytes: int, connections: int
+    limit_mb: int, resident_bytes: int, sockets: int, connections: int
 ) -> None:
-    plan = MemoryPlan(limit_mb * MB, resident_bytes)
+    plan = MemoryPlan(limit_mb * MB, resident_bytes, sockets)
     connections = min(connections, plan.max_connections)
     assert sum_of_parts(plan, connections) <= max(plan.limit_bytes, resident_bytes) + plan.shortage_bytes
     assert plan.body_bytes(connections) >= MIN_BODY_BYTES and plan.max_connections >= MIN_CONNECTIONS
@@ -60,7 +61,7 @@
 # Guards against: the connections that the pages allow did not fit into the least memory that they name.
 @pytest.mark.parametrize("sockets", [LEAST_SOCKETS, MOST_SOCKETS])
 def test_the_least_memory_suffices_for_the_descriptors(sockets: int) -> None:
-    plan = MemoryPlan(LEAST_MEMORY_MB * MB, AT_REST_MB * MB)
+    plan = MemoryPlan(LEAST_MEMORY_MB * MB, AT_REST_MB * MB, sockets)
     assert not plan.shortage_bytes
     clients_with_requests = sockets // 3
     assert plan.max_client_connections >= clients_with_requests
@@ -76,7 +77,7 @@
 def test_less_may_be_held_with_more_connections_and_above_the_plan(
     resident_bytes: int, connections: int, overshoot_bytes: int
 ) -> None:
-    plan = MemoryPlan(LEAST_MEMORY_MB * MB, resident_bytes)
+    plan = MemoryPlan(LEAST_MEMORY_MB * MB, resident_bytes, LEAST_SOCKETS)
     assert plan.body_bytes(connections + 1) <= plan.body_bytes(connections)
     assert plan.body_bytes(connections, overshoot_bytes) <= plan.body_bytes(connections)
     assert plan.body_bytes(connections, overshoot_bytes) >= MIN_BODY_BYTES
@@ -86,7 +87,16 @@
     """A process with the least memory whose resident memory and clock are these, as they are set last."""
     stats = Stats(())
     stats.process = SimpleNamespace(memory_bytes=lambda: (int(resident_mb[-1] * MB), 0))
-    return ProcessMemory(LEAST_MEMORY_MB * MB, stats, lambda: now_s[-1]), stats
+    return ProcessMemory(LEAST_MEMORY_MB * MB, LEAST_SOCKETS, stats, lambda: now_s[-1]), stats
+
+
+# Guards against: bodies were admitted in the place of connections that the clients then opened, so that the
+# small requests of all others were refused until those bodies had ended.
+@pytest.mark.parametrize("sockets", [LEAST_SOCKETS, MOST_SOCKETS])
+def test_the_connections_of_a_permitted_crowd_do_not_make_the_budget_smaller(sockets: int) -> None:
+    plan = MemoryPlan(LEAST_MEMORY_MB * MB, AT_REST_MB * MB, sockets)
+    permitted_connections = 2 * (sockets // 3)
+    assert plan.body_bytes(permitted_connections) == plan.body_bytes(0)
 
 
 # Guards against: connections took memory that the budget of held bytes had counted as its own.
@@ -129,8 +139,8 @@
 # Guards against: two processes of an upgrade planned with the whole limit each.
 def test_two_processes_plan_with_half_of_the_limit_each() -> None:
     memory, _ = memory_with([23.0], [0.0])
-    memory.share(True)
+    memory.plan_for(LEAST_SOCKETS, True)
     assert memory.plan.limit_bytes == LEAST_MEMORY_MB * MB // 2
     assert memory.budget.limit_bytes == MIN_BODY_BYTES
-    memory.share(False)
+    memory.plan_for(LEAST_SOCKETS, False)
     assert memory.budget.limit_bytes == memory.plan.body_bytes(0) > MIN_BODY_BYTES
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -170,7 +170,7 @@
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
         self.stats = Stats(c.name for c in config.settings.classes)
-        self.memory = ProcessMemory(int(config.memory_mb * 2**20), self.stats, loop.time)
+        self.memory = ProcessMemory(int(config.memory_mb * 2**20), config.sockets, self.stats, loop.time)
         self._max_customers = self.memory.plan.max_customers
         self.settings = dataclasses.replace(config.settings, max_customers=self._max_customers)
         self._loop = loop
@@ -286,7 +286,7 @@
     def share_descriptors(self, shared: bool) -> None:
         """Use half of the descriptors and of the memory if `shared`, else all of them."""
         self.is_sharing_descriptors = shared
-        self.memory.share(shared)
+        self.memory.plan_for(self._sockets, shared)
         self._pool.set_max_links(self._max_server_connections())
 
     def _max_server_connections(self) -> int:
--- a/yewstage/net/memory_plan.py
+++ b/yewstage/net/memory_plan.py
@@ -18,12 +18,16 @@
 MIN_REQUEST_IDS, MAX_REQUEST_IDS = 1000, 4096
 USUAL_MIN_BODY_BYTES = 2 * 2**20  # if the connections leave as much, however little is free
 MIN_CONNECTIONS = 128  # also where the limit is too low
+# Part of the descriptors that clients may hold for their requests; as many connections lead to servers then.
+REQUEST_DESCRIPTOR_SHARE = 1 / 3
 CLIENT_CONNECTION_SHARE = 0.5  # of the connections that there is memory for; the others lead to servers
 
 
 class MemoryPlan:
     """Divides what a process may hold, `limit_bytes`, of which it holds `resident_bytes` at rest.
 
+    `sockets` is the number of its descriptors. Connections that clients may hold for their requests are
+    planned for before they are open: bodies that had been admitted in their place could not be taken back.
     The parts add up to the limit at the most, unless it leaves too little for the least of them, which
     `shortage_bytes` tells.
     """
@@ -40,10 +44,11 @@
         "max_server_connections",
         "shortage_bytes",
         "_left_bytes",
+        "_expected_connections",
         "_usual_body_bytes",
     )
 
-    def __init__(self, limit_bytes: int, resident_bytes: int) -> None:
+    def __init__(self, limit_bytes: int, resident_bytes: int, sockets: int) -> None:
         self.limit_bytes, self.resident_bytes = limit_bytes, resident_bytes
         self.free_bytes = free_bytes = max(limit_bytes - resident_bytes, 0)
         # Customers whose use of their quotas may be kept, and ids of requests that do not run again.
@@ -61,6 +66,8 @@
         self.max_connections = max(affordable_connections, MIN_CONNECTIONS)
         self.max_client_connections = int(CLIENT_CONNECTION_SHARE * self.max_connections)
         self.max_server_connections = self.max_connections - self.max_client_connections
+        expected_connections = 2 * int(REQUEST_DESCRIPTOR_SHARE * sockets)
+        self._expected_connections = min(expected_connections, self.max_connections)
         # What the limit lacks for the least of all parts; 0 if it suffices.
         least_bytes = least_body_bytes + MIN_CONNECTIONS * CONNECTION_BYTES
         self.shortage_bytes = max(least_bytes - self._left_bytes, 0)
@@ -71,6 +78,7 @@
 
         `overshoot_bytes` is what the process holds beyond what it should, whatever the cause.
         """
+        connections = max(connections, self._expected_connections)
         left_bytes = self._left_bytes - connections * CONNECTION_BYTES - overshoot_bytes
         return max(min(left_bytes // BYTES_PER_COUNTED_BYTE, self._usual_body_bytes), MIN_BODY_BYTES)
 
--- a/yewstage/net/process_memory.py
+++ b/yewstage/net/process_memory.py
@@ -23,19 +23,23 @@
     memory: the budget is smaller by what the process holds above its mark, whoever holds it.
     """
 
-    def __init__(self, limit_bytes: int, stats: Stats, clock_s: Callable[[], float]) -> None:
-        """`limit_bytes` is that of all processes of this gateway. What is held now counts as held at rest."""
+    def __init__(self, limit_bytes: int, sockets: int, stats: Stats, clock_s: Callable[[], float]) -> None:
+        """`limit_bytes` and `sockets`, the descriptors, are those of all processes of this gateway.
+
+        What the process holds now counts as held at rest.
+        """
         self._stats, self._clock_s = stats, clock_s
         self._limit_bytes, self._resident_bytes = limit_bytes, stats.process.memory_bytes()[0]
-        self.plan = MemoryPlan(limit_bytes, self._resident_bytes)
+        self.plan = MemoryPlan(limit_bytes, self._resident_bytes, sockets)
         self.overshoot_bytes = 0
         self.budget = MemoryBudget(self.plan.body_bytes(0), clock_s)
         self._high_logged_at_s = -HIGH_LOG_INTERVAL_S
         stats.descriptors.on_change = self.update
 
-    def share(self, is_shared: bool) -> None:
-        """Plan with half of the limit while another process of this gateway runs."""
-        self.plan = MemoryPlan(self._limit_bytes // (2 if is_shared else 1), self._resident_bytes)
+    def plan_for(self, sockets: int, is_shared: bool) -> None:
+        """Plan for these descriptors; with half of all while another process of this gateway runs."""
+        processes = 2 if is_shared else 1
+        self.plan = MemoryPlan(self._limit_bytes // processes, self._resident_bytes, sockets // processes)
         self.update()
 
     def update(self) -> None:
