--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -62,6 +62,7 @@
         (b"POST /ops/stats HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405),
         (b"nonsense\r\n\r\n", 400),
         (b"GET /ops/stats HTTP/1.1\r\nX: " + b"x" * 20000, 400),
+        (b"POST /ops HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: " + b"x" * 20000, 400),
     ],
 )
 def test_each_call_gets_one_answer_and_the_connection_is_closed(
