--- a/tests/crowd_rig.py
+++ b/tests/crowd_rig.py
@@ -43,7 +43,7 @@
     return size
 
 
-def test_script(name: str, *arguments: object, **options: object) -> Awaitable[asyncio.subprocess.Process]:
+def start_script(name: str, *arguments: object, **options: object) -> Awaitable[asyncio.subprocess.Process]:
     """Start a script of this folder."""
     return asyncio.create_subprocess_exec(
         sys.executable,
@@ -54,13 +54,10 @@
     )
 
 
-test_script.__test__ = False
-
-
 @contextlib.asynccontextmanager
 async def stand_in_servers(count: int = SERVERS) -> AsyncIterator[list[int]]:
     """Start stand-in servers; yields their ports."""
-    process = await test_script("crowd_servers.py", count, stdout=asyncio.subprocess.PIPE)
+    process = await start_script("crowd_servers.py", count, stdout=asyncio.subprocess.PIPE)
     try:
         yield [int(port) for port in (await process.stdout.readline()).split()]
     finally:
@@ -156,7 +153,7 @@
     rig: CrowdRig, kind: str, connections: int, seconds: float, disturbance: str = "none"
 ) -> None:
     """Let a crowd loose on a gateway, and note the peak of its memory."""
-    load = await test_script("crowding_client.py", rig.port, kind, connections, seconds)
+    load = await start_script("crowding_client.py", rig.port, kind, connections, seconds)
     tasks = {asyncio.create_task(rig.watch()), asyncio.create_task(DISTURBANCES[disturbance](rig))}
     ended = asyncio.create_task(load.wait())
     try:
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -9,6 +9,7 @@
 
 import pytest
 from conftest import FakeHttpServer, GatewayRig, SeenMessage, message, reply, run_on_loop, silent
+from crowd_rig import MB, peak_bytes
 from crowding_client import KINDS
 from load_process import others_served
 from scripted_core import core_with
@@ -19,7 +20,6 @@
 from yewstage.net.clients import ClientConnection
 from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES
 
-MB = 2**20
 SMALLEST_MEMORY_MB, SMALLEST_SOCKETS = 32, 256
 CLIENTS = SMALLEST_SOCKETS // 3  # as many as may hold connections for their requests
 CROWD_S = 5.0
@@ -31,11 +31,6 @@
 LIMIT_S = 60.0
 
 
-def peak_bytes(pid: int) -> int:
-    status = Path(f"/proc/{pid}/status").read_text().splitlines()
-    return int(next(line for line in status if line.startswith("VmHWM")).split()[1]) * 1024
-
-
 def serve(seen: SeenMessage) -> bytes:
     return LONG_ANSWER if "long" in seen.line else reply(b"served")
 
