--- a/tests/crowding_client.py
+++ b/tests/crowding_client.py
@@ -19,7 +19,7 @@
 
 CHUNKED = "Transfer-Encoding: chunked\r\n"
 SHORT_BODY_BYTES = 64 * 1024  # the longest that is buffered whole
-LONG_BODY_BYTES = 2_000_000
+LONG_BODY = b"x" * 2_000_000  # one object, as hundreds of clients send it at once
 PACE_S = 0.1
 PACED_BYTES = 6400  # at PACE_S: 64 kB/s
 FIELDS = 4000
@@ -110,7 +110,7 @@
 
 
 async def half_of_a_long_body(client: Client) -> None:
-    await client.send(put(LONG_BODY_BYTES) + b"x" * (LONG_BODY_BYTES // 2))
+    await client.send(put(len(LONG_BODY)) + LONG_BODY[: len(LONG_BODY) // 2])
     await client.receive()
 
 
@@ -135,20 +135,20 @@
 
 
 async def slow_upload(client: Client) -> None:
-    await client.send(put(LONG_BODY_BYTES))
-    await client.send_slowly(b"x" * LONG_BODY_BYTES)
+    await client.send(put(len(LONG_BODY)))
+    await client.send_slowly(LONG_BODY)
     await client.receive()
 
 
 async def refused_upload(client: Client) -> None:
     """Go on with a long body for seconds though the request was refused at its begin."""
-    await client.send(put(LONG_BODY_BYTES, plan="small"))
-    await client.send_slowly(b"x" * LONG_BODY_BYTES)
+    await client.send(put(len(LONG_BODY), plan="small"))
+    await client.send_slowly(LONG_BODY)
 
 
 async def upload_that_nobody_reads(client: Client) -> None:
-    await client.send(put(LONG_BODY_BYTES, target="/api/00000000b4d65521?answer=unread"))
-    await client.send(b"x" * LONG_BODY_BYTES)
+    await client.send(put(len(LONG_BODY), target="/api/00000000b4d65521?answer=unread"))
+    await client.send(LONG_BODY)
     await client.receive()
 
 
