Test how many bodies the budget admits whatever memory the test's process holds

Cause: the test took the budget that followed from the resident memory of its own process, 1,096,800 bytes there, and divided it by what an admitted body holds (65,708 bytes). A body is admitted if its reservation, 2 KiB more than that, has room. So a budget within 2 KiB of a whole number of bodies gives one less than the quotient; the program did what it should.

Change: the test sets the budget itself, to the byte with which so many bodies fit, and to two bytes less, with which one less does; for 5, 14 and 29 bodies. All tests with a scripted core have the same budget now, whatever the process of the tests holds.

--- a/tests/scripted_core.py
+++ b/tests/scripted_core.py
@@ -11,6 +11,9 @@
 from yewstage.net import core as core_module
 from yewstage.net.config import parse
 from yewstage.net.core import ClientRequest, Core
+from yewstage.net.stats import Process
+
+RESIDENT_BYTES = 25 * 2**20  # of the core's process, whatever the one of the tests holds
 
 
 class Script:
@@ -79,6 +82,7 @@
 async def core_with(monkeypatch: pytest.MonkeyPatch, fake_server: FakeHttpServer) -> tuple[Core, Script]:
     """A core whose decision module is a script and whose only server is `s-0`. Discovery does not answer."""
     monkeypatch.setattr(core_module, "Gateway", Script)
+    monkeypatch.setattr(Process, "memory_bytes", staticmethod(lambda: (RESIDENT_BYTES, RESIDENT_BYTES)))
     await fake_server.start()
     config = parse(
         {
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import math
 import weakref
 from pathlib import Path
 
@@ -19,6 +20,7 @@
 from yewstage.net.client_listener import ClientListener
 from yewstage.net.clients import ClientConnection
 from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES
+from yewstage.net.request_queue import REQUEST_OVERHEAD_BYTES
 
 SMALLEST_MEMORY_MB, SMALLEST_SOCKETS = 32, 256
 CLIENTS = SMALLEST_SOCKETS // 3  # as many as may hold connections for their requests
@@ -96,24 +98,36 @@
 
 
 # Guards against: bodies were admitted by what had come of them, so that together they passed the budget.
-def test_a_body_that_is_admitted_has_its_memory(monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize("fitting", [5, 14, 29])
+@pytest.mark.parametrize("missing_bytes", [0, 2])
+def test_a_body_that_is_admitted_has_its_memory(
+    monkeypatch: pytest.MonkeyPatch, fitting: int, missing_bytes: int
+) -> None:
     async def scenario() -> None:
         core, _ = await core_with(monkeypatch, FakeHttpServer(silent))
+        core.stats.descriptors.on_change = None  # the budget is the test's, whatever this process holds
         listener = ClientListener(core, asyncio.get_running_loop(), 1000)
         head = message("put", body=b"x" * MAX_BUFFERED_BODY_BYTES)[:-MAX_BUFFERED_BODY_BYTES]
         admitted: list[ClientConnection] = []
-        while True:
+
+        def is_admitted() -> bool:
             connection = ClientConnection(listener)
             connection.connection_made(FullTransport(connection))
             connection.data_received(head)  # nothing of the body yet
-            if connection._is_closing:
-                break
-            admitted.append(connection)
-        limit = LARGE_SHARE * core.budget.limit_bytes
-        assert len(admitted) == int(limit / (core.budget.held / len(admitted)))
+            if not connection._is_closing:
+                admitted.append(connection)
+            return not connection._is_closing
+
+        core.budget.set_limit(MB)
+        assert is_admitted()
+        needed_bytes = (fitting - 1) * core.budget.held + MAX_BUFFERED_BODY_BYTES + REQUEST_OVERHEAD_BYTES
+        core.budget.set_limit(math.ceil(needed_bytes / LARGE_SHARE) - missing_bytes)
+        while is_admitted():
+            pass
+        assert len(admitted) == (fitting - 1 if missing_bytes else fitting)
         for connection in admitted:
             connection.data_received(b"x" * (MAX_BUFFERED_BODY_BYTES - 1))
-        assert core.budget.held <= limit
+        assert core.budget.held <= LARGE_SHARE * core.budget.limit_bytes
         for connection in admitted:
             connection.connection_lost(None)
         assert not core.budget.held_bytes_by_purpose()["uploads"]
