Reproduce a process that passes its memory limit by its list and by operators' calls

The stand-in of discovery answers a gateway that knows generation 0 at once, as it has a newer list; the configuration of the crowds' gateways has the list of servers, as in service.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -261,7 +261,7 @@
         self.fake = FakeHttpServer(self._behave)
 
     def _behave(self, seen: SeenMessage) -> bytes | None:
-        if "after=" not in seen.line:
+        if "after=" not in seen.line or "after=0&" in seen.line:  # to the generation before the first one
             return self.listing(self.instances, True)
         self.waiting.append(seen)
         return None
@@ -313,6 +313,7 @@
         self.processes: list[asyncio.subprocess.Process] = []
         self.reading: list[asyncio.Task] = []
         self.port = self.ops_port = 0
+        self.environment: dict[str, str] = {}  # further variables of the process
         self.log: list[str] = []
 
     async def __aenter__(self) -> GatewayRig:
@@ -328,6 +329,10 @@
         """The list of servers that discovery answers with."""
         return [instance(f"s-{i}", h.port) for i, h in enumerate(self.hosts)]
 
+    def known_instances(self) -> list[dict]:
+        """The list of servers in the configuration."""
+        return []
+
     async def launch(self) -> None:
         """Start the program, on the same port if it has run before, and wait until it is ready."""
         self.config = {
@@ -338,7 +343,7 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, **self.limits},
             "counter": f"{LOOP}:{self.counter.port}",
             "ops": f"{LOOP}:0",
-            "known": {"generation": 0, "reset": True, "instances": []},
+            "known": {"generation": 0, "reset": True, "instances": self.known_instances()},
             "settings": {
                 "grades": GRADES,
                 "packages": PACKAGES,
@@ -378,6 +383,7 @@
                 "TMPDIR": str(self.folder),
                 "ROUTER_DISCOVERY": self.config["discovery"],
                 **({} if self.held is None else {"ROUTER_LISTEN_FD": str(self.held.fileno())}),
+                **self.environment,
             },
         )
         while "listening on" not in (line := (await self.process.stderr.readline()).decode()):
--- a/tests/crowd_rig.py
+++ b/tests/crowd_rig.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import os
 import signal
 import sys
@@ -20,20 +21,33 @@
 DOWN_S = 1.0  # before a killed process is started anew in a series
 SERIES_KILL_DELAY_S = 0.45  # from a start to the next kill of a series
 KILLS_IN_SERIES = 3
+UPGRADE_INTERVAL_S = 2.0
+UPGRADE_READY_S = 1.0  # from the start of a new process to the signal for the old one
+KILL_AFTER_SIGTERM_S = 3.7
 RECONFIGURE_INTERVAL_S = 1.0  # also between changes of the list of servers
 TESTS = Path(__file__).parent
 
 
-def peak_bytes(pid: int) -> int:
-    """The peak of the resident memory of a process since its start; 0 if it has ended."""
+def _status_bytes(pid: int, field: str) -> int:
+    """A size in the status of a process; 0 if it has ended."""
     try:
         status = Path(f"/proc/{pid}/status").read_text().splitlines()
     except OSError:
         return 0
-    line = next((line for line in status if line.startswith("VmHWM")), "VmHWM 0")
+    line = next((line for line in status if line.startswith(field)), f"{field} 0")
     return int(line.split()[1]) * 1024
 
 
+def peak_bytes(pid: int) -> int:
+    """The peak of the resident memory of a process since its start; 0 if it has ended."""
+    return _status_bytes(pid, "VmHWM")
+
+
+def resident_bytes(pid: int) -> int:
+    """The resident memory of a process now; 0 if it has ended."""
+    return _status_bytes(pid, "VmRSS")
+
+
 def file_bytes(folder: Path) -> int:
     """The bytes of all files below a folder."""
     size = 0
@@ -76,13 +90,29 @@
 class CrowdRig(GatewayRig):
     """The real program with the stand-in servers on these ports."""
 
-    def __init__(self, folder: Path, server_ports: list[int], **limits: int) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        server_ports: list[int],
+        ballast_mb: float = 0.0,
+        listed_servers: int = 0,
+        **limits: int,
+    ) -> None:
+        """`ballast_mb` is held by the process at rest beside its own; `listed_servers`, 0 for one a port."""
         super().__init__(folder, **limits)
         self._server_ports = server_ports
+        self._listed_servers = listed_servers or len(server_ports)
         self.peak = Peak()
+        self._is_killed = False
+        if ballast_mb:
+            self.environment = {"PYTHONPATH": str(TESTS / "ballast"), "BALLAST_MB": str(ballast_mb)}
 
     def instances(self) -> list[dict]:
-        return [instance(f"s-{i}", port) for i, port in enumerate(self._server_ports)]
+        ports = itertools.islice(itertools.cycle(self._server_ports), self._listed_servers)
+        return [instance(f"s-{i}", port) for i, port in enumerate(ports)]
+
+    def known_instances(self) -> list[dict]:
+        return self.instances()
 
     async def __aenter__(self) -> CrowdRig:
         await super().__aenter__()
@@ -92,9 +122,14 @@
         return self
 
     def sample(self) -> None:
-        """Note the present peak."""
-        size = peak_bytes(self.process.pid) + file_bytes(self.folder)
-        self.peak.highest = max(self.peak.highest, size)
+        """Note the present peak: of one process its own, of two what they hold together now."""
+        running = [process.pid for process in self.processes if process.returncode is None]
+        size = peak_bytes(running[0]) if len(running) == 1 else sum(map(resident_bytes, running))
+        self.peak.highest = max(self.peak.highest, size + file_bytes(self.folder))
+
+    def has_ended(self) -> bool:
+        """Whether the present process has ended by itself."""
+        return self.process.returncode is not None and not self._is_killed
 
     async def watch(self) -> None:
         """Note the peak until cancelled."""
@@ -104,9 +139,14 @@
 
     async def _kill(self) -> None:
         self.sample()
+        self._is_killed = True
         self.process.kill()
         await self.process.wait()
 
+    async def launch(self) -> None:
+        await super().launch()
+        self._is_killed = False
+
     async def kill_and_restart(self) -> None:
         """Kill the process and start it anew, again and again."""
         while True:
@@ -123,6 +163,23 @@
             await self.launch()
         await asyncio.Event().wait()
 
+    async def upgrade(self) -> None:
+        """Start another process beside the present one, and end that one, again and again.
+
+        A process that has not ended by then is killed at the earliest moment that the pages allow.
+        """
+        while True:
+            await asyncio.sleep(UPGRADE_INTERVAL_S)
+            old = self.process
+            await self.spawn()
+            await asyncio.sleep(UPGRADE_READY_S)
+            old.send_signal(signal.SIGTERM)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(old.wait(), KILL_AFTER_SIGTERM_S)
+            if old.returncode is None:
+                old.kill()
+                await old.wait()
+
     async def reconfigure(self) -> None:
         """Send SIGHUP again and again."""
         while True:
@@ -147,6 +204,8 @@
     "sighup": CrowdRig.reconfigure,
     "list": CrowdRig.change_list,
 }
+# These need memory for two processes, and a listening socket that outlives them.
+UPGRADES: dict[str, Callable[[CrowdRig], Awaitable[None]]] = {"upgrade": CrowdRig.upgrade}
 
 
 async def crowd(
@@ -154,7 +213,8 @@
 ) -> None:
     """Let a crowd loose on a gateway, and note the peak of its memory."""
     load = await start_script("crowding_client.py", rig.port, kind, connections, seconds)
-    tasks = {asyncio.create_task(rig.watch()), asyncio.create_task(DISTURBANCES[disturbance](rig))}
+    disturb = {**DISTURBANCES, **UPGRADES}[disturbance]
+    tasks = {asyncio.create_task(rig.watch()), asyncio.create_task(disturb(rig))}
     ended = asyncio.create_task(load.wait())
     try:
         await asyncio.wait({*tasks, ended}, return_when=asyncio.FIRST_COMPLETED)
--- a/tests/crowd_servers.py
+++ b/tests/crowd_servers.py
@@ -25,6 +25,8 @@
 HEAD_PACE_S = 0.1
 ENDLESS_PIECE = b"v" * 32 * 1024
 ENDLESS_PACE_S = 0.05
+INTERIM_PIECE = b"HTTP/1.1 102 Processing\r\nX-Step: some\r\n\r\n" * 700
+LONG_CHUNK_BYTES = 10**6
 MEDIUM_ANSWER = reply(b"x" * 60_000)
 ANSWER_PATTERN = re.compile(rb"[?&]answer=(\w+)")
 LENGTH_PATTERN = re.compile(rb"(?i)\r\ncontent-length: *(\d+)")
@@ -80,6 +82,8 @@
         self._body_bytes_left = int(length[1]) if length else 0
         if self._answer == "unread":
             self._transport.pause_reading()
+        if self._answer == "early":
+            self.long()
 
     def short(self) -> None:
         self._transport.write(reply(b"served"))
@@ -124,12 +128,27 @@
         """A short body in chunks, with a trailer of one value without end, as fast as it goes."""
         self._write_on(OK + b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-Long: ")
 
-    def _write_on(self, data: bytes) -> None:
+    def silent(self) -> None:
+        """No answer."""
+
+    def early(self) -> None:
+        """A long answer that begins before the request's body has come."""
+
+    def interim(self) -> None:
+        """Interim answers without end, as fast as it goes."""
+        self._write_on(b"", INTERIM_PIECE)
+
+    def slow_end(self) -> None:
+        """A long answer of unknown length, whose end never comes."""
+        self._transport.write(OK + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % LONG_CHUNK_BYTES)
+        self._write_pieces(b"", b"x" * LONG_CHUNK_BYTES)
+
+    def _write_on(self, data: bytes, more: bytes = ENDLESS_PIECE) -> None:
         """Write this and then more without end, as long as the other side reads."""
         if not self._transport.is_closing():
             if not self._transport.get_write_buffer_size():
                 self._transport.write(data)
-            asyncio.get_running_loop().call_later(ENDLESS_PACE_S, self._write_on, ENDLESS_PIECE)
+            asyncio.get_running_loop().call_later(ENDLESS_PACE_S, self._write_on, more, more)
 
     def _write_pieces(self, begin: bytes, data: bytes) -> None:
         if self._transport.is_closing():
@@ -154,6 +173,10 @@
         Server.medium,
         Server.endless_value,
         Server.endless_trailer,
+        Server.silent,
+        Server.early,
+        Server.interim,
+        Server.slow_end,
     )
 }
 
--- a/tests/crowding_client.py
+++ b/tests/crowding_client.py
@@ -19,6 +19,7 @@
 
 CHUNKED = "Transfer-Encoding: chunked\r\n"
 SHORT_BODY_BYTES = 64 * 1024  # the longest that is buffered whole
+SHORT_BODY = b"x" * SHORT_BODY_BYTES
 LONG_BODY = b"x" * 2_000_000  # one object, as hundreds of clients send it at once
 PACE_S = 0.1
 PACED_BYTES = 6400  # at PACE_S: 64 kB/s
@@ -27,6 +28,8 @@
 HEAD_PIECE_BYTES = 2 * 1024
 HEAD_PIECES = 15
 RESET_AFTER_READS = 3
+LONGEST_ID_BYTES = 128
+LEAVE_AFTER_S = 0.02
 ENDLESS_PIECE = b"v" * 32 * 1024
 request_numbers = itertools.count()
 
@@ -208,6 +211,77 @@
     await client.receive_slowly()
 
 
+async def waiting(client: Client) -> None:
+    """Wait for an answer that never comes."""
+    await client.send(get(answer="silent"))
+    await client.receive()
+
+
+async def short_body_that_nobody_reads(client: Client) -> None:
+    target = "/api/00000000b4d65521?answer=unread"
+    await client.send(put(SHORT_BODY_BYTES, target=target) + SHORT_BODY)
+    await client.receive()
+
+
+async def long_body_of_a_long_answer(client: Client) -> None:
+    """A long body at 64 kB/s, whose answer is long and is read slowly at the same time."""
+    await client.send(put(len(LONG_BODY), target="/api/00000000b4d65521?answer=early"))
+    await asyncio.gather(client.send_slowly(LONG_BODY), client.receive_slowly())
+
+
+async def many_with_medium_answers_unread(client: Client) -> None:
+    await client.send(b"".join(get(answer="medium") for _ in range(PIPELINED)))
+    await asyncio.sleep(max(client.until - time.monotonic(), 0.0))
+
+
+async def reader_of_nothing(client: Client) -> None:
+    """Ask for a long answer and read none of it."""
+    await client.send(get(answer="long"))
+    await asyncio.sleep(max(client.until - time.monotonic(), 0.0))
+
+
+async def new_customers_that_leave(client: Client) -> None:
+    """Requests with an effect, each of another customer and with the longest id, whose clients leave."""
+    number = next(request_numbers)
+    rid = b"%d-%d-" % (os.getpid(), number)
+    customer = f"{(os.getpid() << 16 | number) % 2**32:016x}"
+    head = message("put", plan="ample", customer=customer, rid=rid.ljust(LONGEST_ID_BYTES, b"i"))
+    await client.send(head)
+    await asyncio.sleep(LEAVE_AFTER_S)
+    client.reset()
+
+
+async def endless_nonsense(client: Client) -> None:
+    """Something that is not HTTP, as fast as it goes."""
+    while time.monotonic() < client.until:
+        await client.send(ENDLESS_PIECE)
+
+
+async def endless_extension(client: Client) -> None:
+    """A chunk whose extension has no end."""
+    await client.send(put() + b"1;")
+    while time.monotonic() < client.until:
+        await client.send(ENDLESS_PIECE)
+        await asyncio.sleep(PACE_S)
+
+
+async def idle(client: Client) -> None:
+    await client.receive()
+
+
+async def half_of_a_line(client: Client) -> None:
+    await client.send(b"GET /api/")
+    await client.receive()
+
+
+async def expecting_upload(client: Client) -> None:
+    """A long body that waits for 100 Continue."""
+    head = put(len(LONG_BODY)).replace(b"\r\n\r\n", b"\r\nExpect: 100-continue\r\n\r\n")
+    await client.send(head)
+    await client.receive()
+    await client.send_slowly(LONG_BODY)
+
+
 # With the simple stand-in servers of `GatewayRig`.
 KINDS: dict[str, Callable[[Client], Awaitable[None]]] = {
     kind.__name__: kind
@@ -238,6 +312,17 @@
             reset_within_an_answer,
             many_with_fields_at_once,
             many_with_medium_answers_at_once,
+            waiting,
+            short_body_that_nobody_reads,
+            long_body_of_a_long_answer,
+            many_with_medium_answers_unread,
+            reader_of_nothing,
+            new_customers_that_leave,
+            endless_nonsense,
+            endless_extension,
+            idle,
+            half_of_a_line,
+            expecting_upload,
             *map(
                 reader,
                 (
@@ -251,6 +336,8 @@
                     "slow_body",
                     "endless_value",
                     "endless_trailer",
+                    "interim",
+                    "slow_end",
                 ),
             ),
         )
--- a/tests/drive_crowds.py
+++ b/tests/drive_crowds.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 
 import uvloop
-from crowd_rig import DISTURBANCES, MB, CrowdRig, crowd, stand_in_servers
+from crowd_rig import DISTURBANCES, MB, UPGRADES, CrowdRig, crowd, stand_in_servers
 from crowding_client import ALL_KINDS, CROWD_KINDS
 
 CLIENT_SHARE = 1 / 3  # of the descriptors of one gateway
@@ -31,12 +31,19 @@
         rigs = []
         for _ in range(arguments.gateways):
             folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
-            rig = CrowdRig(folder, ports, memory_mb=arguments.memory, sockets=arguments.sockets)
-            rigs.append(await stack.enter_async_context(rig))
+            rig = CrowdRig(
+                folder,
+                ports,
+                arguments.ballast,
+                arguments.servers,
+                memory_mb=arguments.memory,
+                sockets=arguments.sockets,
+            )
+            rigs.append(await stack.enter_async_context(rig.hold() if disturbance in UPGRADES else rig))
         await asyncio.gather(
             *(crowd(rig, kind, connections, arguments.seconds, disturbance or "none") for rig in rigs)
         )
-        has_ended = any(rig.process.returncode is not None for rig in rigs)
+        has_ended = any(rig.has_ended() for rig in rigs)
         peaks = [rig.peak.highest / MB for rig in rigs]
         is_within = not has_ended and max(peaks) <= arguments.memory
         words = ["ok  " if is_within else "OVER", f"{work:34}", f"{connections} clients"]
@@ -60,6 +67,8 @@
     parser.add_argument("--memory", type=int, default=32, help="memory_mb of the gateways")
     parser.add_argument("--sockets", type=int, default=1024, help="descriptors of each gateway")
     parser.add_argument("--gateways", type=int, default=1)
+    parser.add_argument("--ballast", type=float, default=0.0, help="MB that the gateways hold at rest beside")
+    parser.add_argument("--servers", type=int, default=0, help="listed servers; default: 8")
     parser.add_argument("--clients", type=int, default=0, help="default: a third of the descriptors")
     parser.add_argument("--seconds", type=float, default=8.0)
     parser.add_argument("--verbose", action="store_true", help="print metrics of the first gateway")
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -2,32 +2,52 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 from pathlib import Path
 
 import pytest
-from conftest import GatewayRig, run_on_loop, serve
-from crowd_rig import DISTURBANCES, MB, CrowdRig, crowd, stand_in_servers
+from conftest import LOOP, GatewayRig, run_on_loop, serve
+from crowd_rig import DISTURBANCES, MB, UPGRADES, CrowdRig, crowd, stand_in_servers
 from crowding_client import ALL_KINDS, CROWD_KINDS
 
+from yewstage.net import ops
+
 SMALLEST_MEMORY_MB = 32
 CLIENT_SHARE = 1 / 3  # of the descriptors, which clients may hold for their requests
 CROWD_S = 4.0
 DISTURBED_CROWD_S = 7.0  # two times as long as between two kills, and a start
 LIMIT_S = 60.0
+MOST_SERVERS = 3200  # of the operators' pages
+MEMORY_FOR_TWO_MB = 64
+OPERATORS_BYTES = 3 * 10**6  # that each caller sends
+OPERATORS_ROUNDS = 3
+
 
+def check_peak(rig: CrowdRig) -> None:
+    """Compare the peak of a gateway's memory with its limit."""
+    assert not rig.has_ended()
+    peak_mb = rig.peak.highest / MB
+    assert peak_mb <= rig.limits["memory_mb"], f"passed its memory limit: {peak_mb:.1f} MB"
 
-def check_memory_limit(folder: Path, kind: str, sockets: int, seconds: float, disturbance: str) -> None:
-    """Let a crowd loose on a gateway with the least memory, and compare its peak with that."""
+
+def check_memory_limit(
+    folder: Path,
+    kind: str,
+    sockets: int,
+    seconds: float,
+    disturbance: str = "none",
+    memory_mb: int = SMALLEST_MEMORY_MB,
+    **options: float,
+) -> None:
+    """Let a crowd loose on a gateway, by default with the least memory, and compare its peak with that."""
 
     async def scenario() -> None:
-        async with (
-            stand_in_servers() as ports,
-            CrowdRig(folder, ports, memory_mb=SMALLEST_MEMORY_MB, sockets=sockets) as rig,
-        ):
-            await crowd(rig, kind, int(CLIENT_SHARE * sockets), seconds, disturbance)
-            assert rig.process.returncode is None
-            peak_mb = rig.peak.highest / MB
-            assert peak_mb <= SMALLEST_MEMORY_MB, f"passed its memory limit: {peak_mb:.1f} MB"
+        async with stand_in_servers() as ports:
+            rig = CrowdRig(folder, ports, memory_mb=memory_mb, sockets=sockets, **options)
+            async with rig.hold() if disturbance in UPGRADES else rig:
+                await crowd(rig, kind, int(CLIENT_SHARE * sockets), seconds, disturbance)
+                check_peak(rig)
 
     run_on_loop(scenario, LIMIT_S)
 
@@ -36,7 +56,7 @@
 @pytest.mark.parametrize("sockets", [256, 1024])
 @pytest.mark.parametrize("kind", CROWD_KINDS)
 def test_a_crowd_leaves_the_process_within_the_least_memory(tmp_path: Path, kind: str, sockets: int) -> None:
-    check_memory_limit(tmp_path, kind, sockets, CROWD_S, "none")
+    check_memory_limit(tmp_path, kind, sockets, CROWD_S)
 
 
 # Guards against: the same where all kinds come at once, also at a new process and during reconfigurations.
@@ -48,6 +68,67 @@
     check_memory_limit(tmp_path, ALL_KINDS, sockets, DISTURBED_CROWD_S, disturbance)
 
 
+# Guards against: the list of servers was no part of the plan, so that a long one came on top of it.
+@pytest.mark.parametrize("sockets", [256, 1024])
+@pytest.mark.parametrize("disturbance", ["none", "kill", "sighup", "list"])
+def test_the_longest_list_of_servers_leaves_the_process_within_the_least_memory(
+    tmp_path: Path, disturbance: str, sockets: int
+) -> None:
+    check_memory_limit(
+        tmp_path, ALL_KINDS, sockets, DISTURBED_CROWD_S, disturbance, listed_servers=MOST_SERVERS
+    )
+
+
+# Guards against: a process whose code takes more memory passed its limit, as on another kind of machine.
+@pytest.mark.parametrize("sockets", [256, 1024])
+@pytest.mark.parametrize("ballast_mb", [2.0, 4.0])
+def test_a_process_that_holds_more_at_rest_stays_within_the_least_memory(
+    tmp_path: Path, ballast_mb: float, sockets: int
+) -> None:
+    check_memory_limit(tmp_path, ALL_KINDS, sockets, CROWD_S, ballast_mb=ballast_mb)
+
+
+# Guards against: the two processes of an upgrade together passed the limit.
+@pytest.mark.parametrize("sockets", [256, 1024])
+def test_the_processes_of_an_upgrade_stay_within_their_memory(tmp_path: Path, sockets: int) -> None:
+    check_memory_limit(tmp_path, ALL_KINDS, sockets, DISTURBED_CROWD_S, "upgrade", MEMORY_FOR_TWO_MB)
+
+
+# Guards against: calls that were sent at once to the operators' address were all parsed ahead.
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"GET /ops/stats?a=1&b=2&c=3 HTTP/1.1\r\n\r\n",
+        b"POST / HTTP/1.1\r\nContent-Length: 60000\r\n\r\n" + b"x" * 60_000,
+        b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 60_000,
+        b"GET /" + b"q" * 10**6,
+        b"GET /?" + b"a=&" * 10**6,
+        b"GET / HTTP/1.1\r\n" + b"a:\r\n" * 10**6,
+    ],
+    ids=["calls", "queries", "bodies", "chunks", "target", "parameters", "fields"],
+)
+def test_calls_of_operators_leave_the_process_within_the_least_memory(tmp_path: Path, data: bytes) -> None:
+    async def call(rig: CrowdRig) -> None:
+        with contextlib.suppress(OSError):
+            reader, writer = await asyncio.open_connection(LOOP, rig.ops_port)
+            writer.write(data * (OPERATORS_BYTES // len(data)))
+            await reader.read()
+            writer.close()
+
+    async def scenario() -> None:
+        async with (
+            stand_in_servers() as ports,
+            CrowdRig(tmp_path, ports, memory_mb=SMALLEST_MEMORY_MB, sockets=256) as rig,
+        ):
+            for _ in range(OPERATORS_ROUNDS):
+                await asyncio.gather(*[call(rig) for _ in range(2 * ops.MAX_CONNECTIONS)])
+            rig.sample()
+            check_peak(rig)
+
+    run_on_loop(scenario, LIMIT_S)
+
+
 # Guards against: a third of the least memory went to a library that nothing in the process uses.
 def test_the_process_loads_no_tls_library(tmp_path: Path) -> None:
     async def scenario() -> None:
