Parse no more calls of an operators' connection than may wait there

What was seen: 16 callers that each sent thousands of calls at once to the operators' address made a process with 32 MB hold 49.2 MB, for which the platform kills it.

Cause: the connection read up to 256,000 bytes at once and parsed all of them into calls; their number was compared with the limit of 4 only after that. A call of 18 bytes takes some 400, one with parameters more. Class: bytes that are held before they are compared with a limit.

Change: the number is compared as each call ends, and the rest of the read is not parsed into calls. A connection that carries one call, as the operators', ignores what follows it. A call has at most 64 parameters. At the operators' address a head has at most 8 KiB and a body 1 KiB. Reads use the buffer that all connections share. The server of the list service and of the holding is the same one.

--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -110,11 +110,11 @@
 )
 def test_calls_of_operators_leave_the_process_within_the_least_memory(tmp_path: Path, data: bytes) -> None:
     async def call(rig: CrowdRig) -> None:
+        reader, writer = await asyncio.open_connection(LOOP, rig.ops_port)
+        writer.write(data * (OPERATORS_BYTES // len(data)))
         with contextlib.suppress(OSError):
-            reader, writer = await asyncio.open_connection(LOOP, rig.ops_port)
-            writer.write(data * (OPERATORS_BYTES // len(data)))
             await reader.read()
-            writer.close()
+        writer.close()
 
     async def scenario() -> None:
         async with (
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -8,9 +8,18 @@
 
 import pytest
 from conftest import LOOP, GatewayRig, SeenMessage, actions_of, message, read_message, reply, run_on_loop
+from test_streams import FullTransport
 
 from yewstage import interface as api
 from yewstage.net import ops as ops_module
+from yewstage.net.http_server import (
+    MAX_QUERY_FIELDS,
+    MAX_QUEUED_CALLS,
+    ConnectionLimits,
+    HttpConnection,
+    HttpRequest,
+    HttpServer,
+)
 from yewstage.net.ops import Ops
 from yewstage.net.stats import Stats
 from yewstage.policy import Gateway
@@ -98,6 +107,42 @@
     run_on_loop(scenario, 4)  # less than CALL_TIMEOUT_S, so that no time-out freed the place
 
 
+class CountingConnection(HttpConnection):
+    """A connection that counts the calls that it parses."""
+
+    parsed_count = 0
+
+    def _parse_call(self) -> HttpRequest | None:
+        self.parsed_count += 1
+        return super()._parse_call()
+
+
+# Guards against: thousands of calls in one read were all parsed before their number was compared.
+@pytest.mark.parametrize(("idle_timeout_s", "parsed_count"), [(0.0, 1), (5.0, MAX_QUEUED_CALLS)])
+def test_no_more_calls_are_parsed_than_may_wait(idle_timeout_s: float, parsed_count: int) -> None:
+    async def scenario() -> None:
+        limits = ConnectionLimits(1, 5.0, 5.0, idle_timeout_s)
+        server = HttpServer(asyncio.get_running_loop(), lambda call, caller: None, limits)
+        connection = CountingConnection(server)
+        connection.connection_made(FullTransport(connection))
+        connection.data_received(b"GET / HTTP/1.1\r\n\r\n" * 3000)
+        connection.data_received(b"GET / HTTP/1.1\r\n\r\n" * 3000)
+        assert connection.parsed_count == parsed_count
+
+    run_on_loop(scenario)
+
+
+# Guards against: one call with thousands of parameters took a hundred times its bytes.
+def test_a_call_with_too_many_parameters_is_refused(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with GatewayRig(tmp_path, handle) as rig:
+            for count, status in ((MAX_QUERY_FIELDS, "200"), (MAX_QUERY_FIELDS + 1, "400")):
+                query = "&".join(f"{number}=" for number in range(count))
+                assert (await rig.ops(f"/ops/readiness?{query}")).line.split()[1] == status
+
+    run_on_loop(scenario)
+
+
 def test_a_removed_class_keeps_its_counts_and_labels_are_escaped() -> None:
     stats = Stats(["a", 'b"\\'])
     stats.count_answer("a", 200)
--- a/yewstage/net/http_server.py
+++ b/yewstage/net/http_server.py
@@ -15,11 +15,13 @@
 import httptools
 
 from yewstage.net.parser_input import ParserInput
+from yewstage.net.receive_buffer import READ_BYTES, receive_buffer, received_bytes
 from yewstage.net.stats import DescriptorUse
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_BODY_BYTES = 64 * 1024
 MAX_QUEUED_CALLS = 4  # pipelined calls per connection; one more closes it
+MAX_QUERY_FIELDS = 64  # of one call
 SWEEP_INTERVAL_S = 0.5
 REASON_PHRASES = {
     200: b"OK",
@@ -72,9 +74,11 @@
     max_connections: int  # connections; a new one above that closes the oldest without an open call
     call_timeout_s: float  # to receive a call; the first one counts from the opening of the connection
     read_timeout_s: float  # for the caller to read its answer
-    idle_timeout_s: float = 0.0  # between calls; 0: one call per connection
+    idle_timeout_s: float = 0.0  # between calls; 0: one call per connection, what follows it is ignored
     # Builds the answer to an invalid call.
     fail: Callable[[int, str], HttpResponse] = lambda status, reason: HttpResponse(status)
+    max_head_bytes: int = MAX_HEAD_BYTES  # of one call
+    max_body_bytes: int = MAX_BODY_BYTES  # of one call
 
 
 class HttpServer:
@@ -140,14 +144,14 @@
         self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
 
-class HttpConnection(asyncio.Protocol):
+class HttpConnection(asyncio.BufferedProtocol):
     """One connection. Pipelined calls are processed one at a time and answered in order."""
 
     def __init__(self, listener: HttpServer) -> None:
         self._listener = listener
         self.transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._parser_input = ParserInput(MAX_HEAD_BYTES)
+        self._parser_input = ParserInput(listener.limits.max_head_bytes)
         self._url, self._body = b"", b""
         # Queued calls, and whether the connection stays open after each.
         self._calls: deque[tuple[HttpRequest, bool]] = deque()
@@ -162,7 +166,13 @@
         # Called if the connection is lost before the open call is answered.
         self.on_disconnect: Callable[[], None] | None = None
 
-    # asyncio.Protocol
+    # asyncio.BufferedProtocol
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return receive_buffer(READ_BYTES)
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(received_bytes(nbytes))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
@@ -185,6 +195,7 @@
         self._write_blocked_at_s = None
 
     def data_received(self, data: bytes) -> None:
+        """Parse what was read, and process the calls that it completes."""
         if self._is_closing:
             return
         self._parser_input.feed(len(data))
@@ -196,8 +207,6 @@
             self._parser_input.clear()
         elif self._parser_input.is_too_long() and not self._is_closing:
             self._reject(400, "its head or trailer is too long")
-        if len(self._calls) > MAX_QUEUED_CALLS:
-            self._listener.drop(self)
         self._process_calls()
 
     # httptools
@@ -217,22 +226,38 @@
     def on_body(self, data: bytes) -> None:
         self._parser_input.pass_on(len(data))
         self._body += data
-        if len(self._body) > MAX_BODY_BYTES:
+        if len(self._body) > self._listener.limits.max_body_bytes:
             self._reject(413, "its body is too long")
 
     def on_message_complete(self) -> None:
         self._is_receiving = False
-        if self._is_closing:
+        if self._is_closing or self._has_only_call():
+            return
+        if len(self._calls) == MAX_QUEUED_CALLS:
+            self._is_closing = True  # the rest of the present read is not parsed into calls either
+            self._listener.drop(self)
             return
+        call = self._parse_call()
+        if call is None:
+            self._reject(400, "its target makes no sense")
+        else:
+            self._calls.append((call, self._parser.should_keep_alive()))
+
+    def _has_only_call(self) -> bool:
+        """Whether the connection has the one call that it may carry."""
+        return self._listener.limits.idle_timeout_s == 0 and (bool(self._calls) or self.busy)
+
+    def _parse_call(self) -> HttpRequest | None:
+        """Return the call that was received; None if its target is invalid."""
         try:
             url = httptools.parse_url(self._url)
-            query = dict(parse_qsl((url.query or b"").decode("ascii"), keep_blank_values=True))
+            fields = parse_qsl(
+                (url.query or b"").decode("ascii"), keep_blank_values=True, max_num_fields=MAX_QUERY_FIELDS
+            )
             path = unquote(url.path.decode("ascii"))
-            call = HttpRequest(self._parser.get_method().decode("ascii"), path, query, self._body)
-        except (httptools.HttpParserError, UnicodeDecodeError, AttributeError):
-            self._reject(400, "its target makes no sense")
-            return
-        self._calls.append((call, self._parser.should_keep_alive()))
+        except (httptools.HttpParserError, ValueError, AttributeError):
+            return None
+        return HttpRequest(self._parser.get_method().decode("ascii"), path, dict(fields), self._body)
 
     # Calls and answers
 
--- a/yewstage/net/ops.py
+++ b/yewstage/net/ops.py
@@ -10,6 +10,7 @@
 
 MAX_CONNECTIONS = 16  # reserved for operators, beyond those of clients and servers
 CALL_TIMEOUT_S = 5.0  # for receiving a call, and for the caller to read the answer
+MAX_CALL_HEAD_BYTES, MAX_CALL_BODY_BYTES = 8 * 1024, 1024
 
 
 class Ops:
@@ -25,9 +26,14 @@
     ) -> None:
         """`pages` maps further paths to functions that return JSON."""
         self._is_ready, self._metrics_text, self._pages = is_ready, metrics_text, dict(pages or {})
-        self._server = HttpServer(
-            loop, self._answer, ConnectionLimits(MAX_CONNECTIONS, CALL_TIMEOUT_S, CALL_TIMEOUT_S), use
+        limits = ConnectionLimits(
+            MAX_CONNECTIONS,
+            CALL_TIMEOUT_S,
+            CALL_TIMEOUT_S,
+            max_head_bytes=MAX_CALL_HEAD_BYTES,
+            max_body_bytes=MAX_CALL_BODY_BYTES,
         )
+        self._server = HttpServer(loop, self._answer, limits, use)
 
     async def start(self, address: tuple[str, int]) -> tuple[str, int]:
         """Listen; returns the bound address, with the actual port where 0 was asked for."""
