Plan for the list of servers, and for what a process holds when it begins to serve

Cause: the memory plan did not know the list. A list took 2.4 KiB a server while it was parsed: three copies of its text, a dictionary for each instance, the list before it, and two empty sets (432 bytes) in each server's pool; the list of the configuration stayed for the life of the process. What was loaded after the first measure of the memory at rest was not known either. Class: who may hold how much.

Change: LISTED_SERVER_BYTES for each listed server is a part of the plan, which is made anew with each list. An instance is converted as the JSON around it is parsed. The list of the configuration is released once it is applied. A list of more servers than there is memory for, 4,096 at the least, is refused with an error, and the one before is kept. The process measures again, less its list, before it serves. Tables that stay for the life of a process (customers, request ids) stay in all later plans.

--- a/tests/test_fields.py
+++ b/tests/test_fields.py
@@ -9,7 +9,7 @@
 
 from yewstage.net import fields
 from yewstage.net.config import Config, ConfigError, load, parse, reload
-from yewstage.net.discovery import parse_listing
+from yewstage.net.discovery import load_listing, parse_listing
 
 SETTINGS = {
     "grades": [
@@ -184,3 +184,22 @@
 def test_a_listing_with_an_infinite_number_is_refused(key: str, value: object) -> None:
     with pytest.raises(ValueError, match="^s: cell, weight or startedAtMs is not a number$"):
         parse_listing({"generation": 1, "reset": True, "instances": [{**INSTANCE, key: value}]})
+
+
+# Guards against: the instances of a long list were all kept as dictionaries while it was parsed.
+@pytest.mark.parametrize("indent", [None, 2])
+def test_a_list_is_the_same_whether_it_is_converted_at_once_or_not(indent: int | None) -> None:
+    raw = {"generation": 1, "reset": True, "instances": [INSTANCE, {**INSTANCE, "lifecycle": "gone"}]}
+    assert load_listing(json.dumps(raw, indent=indent).encode(), 2) == parse_listing(raw)
+    invalid = {**raw, "instances": [INSTANCE, {**INSTANCE, "hostPort": "nowhere"}]}
+    with pytest.raises(ValueError, match="hostPort 'nowhere' is not HOST:PORT"):
+        load_listing(json.dumps(invalid, indent=indent).encode(), 2)
+
+
+# Guards against: a list of any length was taken, whatever memory there was for it.
+def test_a_list_of_too_many_servers_is_refused() -> None:
+    instances = [{**INSTANCE, "instanceId": f"s-{number}"} for number in range(3)]
+    text = json.dumps({"generation": 1, "reset": True, "instances": instances}).encode()
+    assert len(load_listing(text, 3).servers) == 3
+    with pytest.raises(ValueError, match="instances: more than 2"):
+        load_listing(text, 2)
--- a/tests/test_memory_plan.py
+++ b/tests/test_memory_plan.py
@@ -15,6 +15,7 @@
     BYTES_PER_COUNTED_BYTE,
     CONNECTION_BYTES,
     CUSTOMER_BYTES,
+    LISTED_SERVER_BYTES,
     MIN_BODY_BYTES,
     MIN_CONNECTIONS,
     REQUEST_ID_BYTES,
@@ -27,6 +28,7 @@
 MB = 2**20
 LEAST_MEMORY_MB, MOST_MEMORY_MB = 32, 192  # of the operators' pages
 LEAST_SOCKETS, MOST_SOCKETS = 256, 1024
+MOST_SERVERS = 3200
 AT_REST_MB = 25  # more than either kind of machine holds at rest
 
 
@@ -35,8 +37,9 @@
     return (
         plan.resident_bytes
         + RESERVED_BYTES
-        + plan.max_customers * CUSTOMER_BYTES
-        + plan.max_request_ids * REQUEST_ID_BYTES
+        + plan.tables.max_customers * CUSTOMER_BYTES
+        + plan.tables.max_request_ids * REQUEST_ID_BYTES
+        + plan.servers * LISTED_SERVER_BYTES
         + connections * CONNECTION_BYTES
         + plan.body_bytes(connections, overshoot_bytes) * BYTES_PER_COUNTED_BYTE
     )
@@ -47,11 +50,13 @@
     resident_bytes=st.integers(10 * MB, 200 * MB),
     sockets=st.integers(LEAST_SOCKETS, MOST_SOCKETS),
     connections=st.integers(0, MOST_SOCKETS),
+    servers=st.integers(0, MOST_SERVERS),
 )
 def test_all_parts_together_stay_within_the_limit(
-    limit_mb: int, resident_bytes: int, sockets: int, connections: int
+    limit_mb: int, resident_bytes: int, sockets: int, connections: int, servers: int
 ) -> None:
-    plan = MemoryPlan(limit_mb * MB, resident_bytes, sockets)
+    plan = MemoryPlan(limit_mb * MB, resident_bytes, sockets, servers)
+    assert plan.tables.max_servers >= MOST_SERVERS
     connections = min(connections, plan.max_connections)
     assert sum_of_parts(plan, connections) <= max(plan.limit_bytes, resident_bytes) + plan.shortage_bytes
     assert plan.body_bytes(connections) >= MIN_BODY_BYTES and plan.max_connections >= MIN_CONNECTIONS
@@ -83,11 +88,16 @@
     assert plan.body_bytes(connections, overshoot_bytes) >= MIN_BODY_BYTES
 
 
-def memory_with(resident_mb: list[float], now_s: list[float]) -> tuple[ProcessMemory, Stats]:
-    """A process with the least memory whose resident memory and clock are these, as they are set last."""
+def memory_with(
+    resident_mb: list[float],
+    now_s: list[float],
+    limit_mb: int = LEAST_MEMORY_MB,
+) -> tuple[ProcessMemory, Stats]:
+    """A process whose resident memory and clock are these, as they are set last."""
     stats = Stats(())
     stats.process = SimpleNamespace(memory_bytes=lambda: (int(resident_mb[-1] * MB), 0))
-    return ProcessMemory(LEAST_MEMORY_MB * MB, LEAST_SOCKETS, stats, lambda: now_s[-1]), stats
+    memory = ProcessMemory(limit_mb * MB, LEAST_SOCKETS, stats, lambda: now_s[-1])
+    return memory, stats
 
 
 # Guards against: bodies were admitted in the place of connections that the clients then opened, so that the
@@ -139,8 +149,26 @@
 # Guards against: two processes of an upgrade planned with the whole limit each.
 def test_two_processes_plan_with_half_of_the_limit_each() -> None:
     memory, _ = memory_with([23.0], [0.0])
-    memory.plan_for(LEAST_SOCKETS, True)
+    tables = memory.plan.tables
+    memory.set_limits(LEAST_MEMORY_MB * MB, LEAST_SOCKETS, True)
     assert memory.plan.limit_bytes == LEAST_MEMORY_MB * MB // 2
     assert memory.budget.limit_bytes == MIN_BODY_BYTES
-    memory.plan_for(LEAST_SOCKETS, False)
+    memory.set_limits(LEAST_MEMORY_MB * MB, LEAST_SOCKETS, False)
     assert memory.budget.limit_bytes == memory.plan.body_bytes(0) > MIN_BODY_BYTES
+    assert memory.plan.tables == tables  # which the process has already
+
+
+# Guards against: the list of servers was no part of the plan, nor what is loaded after the first measure.
+def test_the_plan_has_the_list_of_servers_and_what_the_process_holds_when_it_begins_to_serve() -> None:
+    resident_mb = [23.0]
+    memory, _ = memory_with(resident_mb, [0.0])
+    without_list = memory.plan.fixed_bytes
+    memory.set_servers(MOST_SERVERS)
+    assert memory.plan.fixed_bytes == without_list + MOST_SERVERS * LISTED_SERVER_BYTES
+    list_mb = MOST_SERVERS * LISTED_SERVER_BYTES / MB
+    resident_mb.append(23.0 + list_mb)
+    memory.measure_at_rest()
+    assert memory.plan.resident_bytes == pytest.approx(23 * MB, abs=1)
+    resident_mb.append(24.0 + list_mb)
+    memory.measure_at_rest()
+    assert memory.plan.resident_bytes == pytest.approx(24 * MB, abs=1)
--- a/yewstage/net/config.py
+++ b/yewstage/net/config.py
@@ -14,7 +14,7 @@
 from yewstage import wire
 from yewstage.log import FORMATS
 from yewstage.net import fields
-from yewstage.net.discovery import Listing, parse_listing
+from yewstage.net.discovery import NO_LISTING, Listing, convert_instance, parse_listing
 
 if TYPE_CHECKING:
     from yewstage.membership.config import PeersConfig
@@ -58,6 +58,10 @@
     holding: tuple[Address, ...] = ()  # members of the holding, which keeps the record of keyed requests
     peers: PeersConfig | None = None  # membership in the fleet; None: disabled
 
+    def memory_bytes(self) -> int:
+        """Return the limit on the memory of all processes of this gateway."""
+        return int(self.memory_mb * 2**20)
+
 
 def load(environ: Mapping[str, str]) -> Config:
     """Load the file that `ROUTER_CONFIG` names; single variables take precedence. Raises ConfigError."""
@@ -84,7 +88,11 @@
     if not path:
         raise ConfigError("ROUTER_CONFIG: is not set")
     try:
-        raw = json.loads(Path(path).read_text(encoding="utf-8"), parse_constant=_refuse_constant)
+        raw = json.loads(
+            Path(path).read_text(encoding="utf-8"),
+            parse_constant=_refuse_constant,
+            object_hook=convert_instance,
+        )
     except (OSError, ValueError, RecursionError) as error:
         raise ConfigError(f"ROUTER_CONFIG: cannot be read: {error}") from None
     if not isinstance(raw, dict):
@@ -126,7 +134,7 @@
     if settings.counter_enabled and not counter:
         raise ConfigError("counter: is missing, though the settings allow calls to it")
     try:
-        fallback_listing = parse_listing(raw["known"]) if raw.get("known") else Listing(0, True, (), {})
+        fallback_listing = parse_listing(raw["known"]) if raw.get("known") else NO_LISTING
     except ValueError as error:
         raise ConfigError(f"known: {error}") from None
     return Config(
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -23,7 +23,7 @@
 from yewstage.net.attempts import CLIENT_UNSEEN, Attempt, AttemptRunner
 from yewstage.net.config import Config
 from yewstage.net.counter import Counter
-from yewstage.net.discovery import ON_REQUEST_TIMEOUTS, PUSHED_TIMEOUTS, Discovery, Listing
+from yewstage.net.discovery import NO_LISTING, ON_REQUEST_TIMEOUTS, PUSHED_TIMEOUTS, Discovery, Listing
 from yewstage.net.http1 import Reply
 from yewstage.net.loop_monitor import LoopMonitor
 from yewstage.net.pool import Source
@@ -170,8 +170,15 @@
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
         self.stats = Stats(c.name for c in config.settings.classes)
-        self.memory = ProcessMemory(int(config.memory_mb * 2**20), config.sockets, self.stats, loop.time)
-        self._max_customers = self.memory.plan.max_customers
+        self._memory_bytes = config.memory_bytes()
+        self.memory = ProcessMemory(
+            self._memory_bytes,
+            config.sockets,
+            self.stats,
+            loop.time,
+        )
+        tables = self.memory.plan.tables
+        self._max_customers = tables.max_customers
         self.settings = dataclasses.replace(config.settings, max_customers=self._max_customers)
         self._loop = loop
         self._clock = Clock()
@@ -195,6 +202,7 @@
             budget=self.budget,
         )
         self._pool = self._attempt_runner.pool
+        self.memory.on_plan = lambda: self._pool.set_max_links(self._max_server_connections())
         self._discovery = Discovery(
             loop,
             config.discovery,
@@ -204,19 +212,20 @@
             random.Random(config.seed),
             uses["discovery"],
             ON_REQUEST_TIMEOUTS if config.settings.server_list_on_request else PUSHED_TIMEOUTS,
+            tables.max_servers,
         )
         self._counter = (
             Counter(loop, config.counter, config.settings.count_wait_ms, self._post, uses["counter"])
             if config.counter is not None
             else None
         )
-        self._config = config
+        self._config = dataclasses.replace(config, fallback_listing=NO_LISTING)
         self._claim_record = self._create_claim_record() if config.holding else None
         self._shares: Shares | None = None  # created with the first request for a share
         self._initial_listing = config.fallback_listing
         self._requests: dict[str, _OpenRequest] = {}
         self._open_ids: dict[str, _OpenRequest] = {}  # requests with an effect by their clients' ids
-        self._request_ids = RequestIds(REQUEST_ID_RETENTION_S, self.memory.plan.max_request_ids)
+        self._request_ids = RequestIds(REQUEST_ID_RETENTION_S, tables.max_request_ids)
         self._shared_ids: SharedRequestIds | None = None  # None: no other process can serve beside this one
         self._claims: dict[str, KeyClaim] = {}  # by request id; empty without a claim record
         self._unanswered = 0  # complete requests without an answer
@@ -258,13 +267,13 @@
     def start(self) -> None:
         """Apply the configured list of servers, then connect to discovery and the counter."""
         self._started_at = time.monotonic()
-        self._apply_list(self._initial_listing, "kept")
+        initial_listing, self._initial_listing = self._initial_listing, NO_LISTING
+        self._apply_list(initial_listing, "kept")
         self._pool.start()
         self._discovery.start()
         if self._counter is not None:
             self._counter.start()
         self.loop_monitor.start()
-        self.memory.log_plan()
 
     def reconfigure(self, config: Config) -> None:
         """Apply new settings, including new addresses of discovery and the counter."""
@@ -286,8 +295,12 @@
     def share_descriptors(self, shared: bool) -> None:
         """Use half of the descriptors and of the memory if `shared`, else all of them."""
         self.is_sharing_descriptors = shared
-        self.memory.plan_for(self._sockets, shared)
-        self._pool.set_max_links(self._max_server_connections())
+        self.memory.set_limits(self._memory_bytes, self._sockets, shared)
+
+    def plan_memory(self) -> None:
+        """Divide the memory by what the process holds at rest; called once, before it serves."""
+        self.memory.measure_at_rest()
+        self.memory.log_plan()
 
     def _max_server_connections(self) -> int:
         """How many connections to servers the descriptors and the memory allow."""
@@ -603,6 +616,7 @@
             {s.name: s.up_since_ms for s in listing.servers},
             {s.name for s in listing.servers if s.status == "draining"},
         )
+        self.memory.set_servers(self._pool.server_count())
         if listing.servers or kind != "changes":
             states = ", ".join(f"{s.name} {s.status}" for s in listing.servers)
             log.info(
--- a/yewstage/net/discovery.py
+++ b/yewstage/net/discovery.py
@@ -7,16 +7,18 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import logging
 import math
 import random
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from yewstage import interface as api
 from yewstage.log import Event
-from yewstage.net.http1 import CONNECT_TIMED_OUT, MAX_LIST_BYTES, ConnectAttempt, Reply, ReplyProtocol
+from yewstage.net.http1 import CONNECT_TIMED_OUT, ConnectAttempt, Reply, ReplyProtocol
 from yewstage.net.stats import DescriptorUse
 
 log = logging.getLogger(__name__)
@@ -26,6 +28,8 @@
 # After a time-out the loop gets one or two turns to read data that has arrived, before silence counts.
 READ_GRACE_S = 0.002
 BACKOFF_PER_GATEWAY_S = 0.1  # per gateway of the fleet, as all may be refused at the same time
+DEFAULT_MAX_SERVERS = 8192  # in a list that is taken
+LISTED_SERVER_TEXT_BYTES = 512  # of one server in an answer, also where it is indented
 STATUS_BY_LIFECYCLE = {"ready": "up", "draining": "draining", "gone": "removed"}
 
 
@@ -48,6 +52,14 @@
 PUSHED_TIMEOUTS = WatchTimeouts(silent_s=0.75, first_backoff_s=0.2, backoff_s=0.2)
 
 
+@dataclass(slots=True, frozen=True)
+class ListedServer:
+    """One instance of a list of servers; the address is None if it is removed."""
+
+    server: api.Server
+    address: tuple[str, int] | None
+
+
 @dataclass(slots=True, frozen=True)
 class Listing:
     """One answer of discovery: a full list of servers or a delta, and the addresses by instance id."""
@@ -58,6 +70,9 @@
     addresses: dict[str, tuple[str, int]]
 
 
+NO_LISTING = Listing(0, True, (), {})
+
+
 def parse_listing(raw: object) -> Listing:
     """Convert discovery's JSON to a `Listing`; ValueError if it is malformed."""
     if not isinstance(raw, dict) or not isinstance(raw.get("instances"), list):
@@ -65,16 +80,40 @@
     generation = raw.get("generation")
     if not isinstance(generation, int) or isinstance(generation, bool):
         raise ValueError(f"generation {generation!r} is not a whole number")
-    servers, addresses = [], {}
-    for entry in raw["instances"]:
-        server, address = _parse_instance(entry)
-        servers.append(server)
-        if address is not None:
-            addresses[server.name] = address
-    return Listing(generation, bool(raw.get("reset")), tuple(servers), addresses)
+    listed = [
+        entry if isinstance(entry, ListedServer) else _parse_instance(entry) for entry in raw["instances"]
+    ]
+    addresses = {entry.server.name: entry.address for entry in listed if entry.address is not None}
+    return Listing(generation, bool(raw.get("reset")), tuple(entry.server for entry in listed), addresses)
+
+
+def load_listing(text: bytes, max_servers: int) -> Listing:
+    """Parse an answer of discovery; ValueError if it is malformed, or names more servers than that."""
+    count = itertools.count(1)
 
+    def convert(raw: dict[str, object]) -> object:
+        instance = convert_instance(raw)
+        if instance is not raw and next(count) > max_servers:
+            raise ValueError(f"instances: more than {max_servers}")
+        return instance
 
-def _parse_instance(entry: object) -> tuple[api.Server, tuple[str, int] | None]:
+    return parse_listing(json.loads(text, object_hook=convert))
+
+
+def convert_instance(raw: dict[str, object]) -> object:
+    """Convert an instance while the JSON around it is parsed, as all of them at once take much memory.
+
+    Other objects, and invalid instances, stay as they are; `parse_listing` tells what is wrong.
+    """
+    if "instanceId" not in raw:
+        return raw
+    try:
+        return _parse_instance(raw)
+    except ValueError:
+        return raw
+
+
+def _parse_instance(entry: object) -> ListedServer:
     if not isinstance(entry, dict) or not isinstance(entry.get("instanceId"), str) or not entry["instanceId"]:
         raise ValueError("an instance has no instanceId")
     name = entry["instanceId"]
@@ -88,7 +127,7 @@
         # startedAtMs needs no conversion, as the decision module's clock is Unix time in milliseconds too.
         server = api.Server(
             name,
-            str(entry.get("zone", "")),
+            sys.intern(str(entry.get("zone", ""))),
             int(entry.get("cell", 0)),
             status,
             float(entry.get("weight", 1.0)),
@@ -98,7 +137,7 @@
             raise ValueError
     except (TypeError, ValueError, OverflowError):
         raise ValueError(f"{name}: cell, weight or startedAtMs is not a number") from None
-    return server, ((host.strip("[]"), int(port)) if status != "removed" else None)
+    return ListedServer(server, (host.strip("[]"), int(port)) if status != "removed" else None)
 
 
 class Discovery:
@@ -119,7 +158,10 @@
         rng: random.Random | None = None,
         descriptor_use: DescriptorUse | None = None,
         timeouts: WatchTimeouts = ON_REQUEST_TIMEOUTS,
+        max_servers: int = DEFAULT_MAX_SERVERS,
     ) -> None:
+        """A list of more than `max_servers` is refused, and the last one is kept."""
+        self._max_servers = max_servers
         self._descriptor_use, self._timeouts = descriptor_use or DescriptorUse(), timeouts
         self._loop, self._address, self._on_listing = loop, address, on_listing
         self._generation = known_generation  # of the known list; None: request the full list
@@ -145,6 +187,10 @@
         if self._connection is not None:
             self._connection.abort()
 
+    def max_list_bytes(self) -> int:
+        """Return the most bytes that an answer of discovery may have."""
+        return self._max_servers * LISTED_SERVER_TEXT_BYTES
+
     def move(self, address: tuple[str, int]) -> None:
         """Watch at another address, starting with the full list. The current one stays in use until then."""
         self._address, self._generation, self._failures = address, None, 0
@@ -226,7 +272,7 @@
         try:
             if reply.status != 200:
                 raise ValueError(f"status {reply.status}")
-            listing = parse_listing(json.loads(reply.body))
+            listing = load_listing(reply.body, self._max_servers)
             if not listing.is_full and (self._generation is None or listing.generation < self._generation):
                 raise ValueError("delta to a list that was not received")
         except (ValueError, RecursionError) as error:
@@ -272,7 +318,7 @@
     """Connection to the agent."""
 
     def __init__(self, owner: Discovery) -> None:
-        super().__init__(MAX_LIST_BYTES)
+        super().__init__(owner.max_list_bytes())
         self._owner = owner
         self.is_waiting = False
 
--- a/yewstage/net/memory_plan.py
+++ b/yewstage/net/memory_plan.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 # What a connection takes beside the bytes that it holds, with the request that it carries.
 CONNECTION_BYTES = 5 * 1024
 CUSTOMER_BYTES = 1536  # what a customer's use of its quota takes
 REQUEST_ID_BYTES = 320  # what the longest id that must not run again takes
+LISTED_SERVER_BYTES = 2048  # what a server of the list takes, also while a new list is parsed
 # A counted byte takes up to this many: objects are rounded up, and buffers grow by more than they need.
 BYTES_PER_COUNTED_BYTE = 2
-# For what single calls need: the read buffer, a list of servers, the operators' metrics, lines of the log.
+# For what single calls need: the read buffer, calls to the counter and of operators, lines of the log.
 RESERVED_BYTES = 2**20
 CUSTOMER_MEMORY_SHARE = 0.2  # of the free memory
 MIN_CUSTOMERS = 1000
@@ -16,6 +19,8 @@
 MIN_BODY_BYTES = 2**18  # which connections must leave
 REQUEST_ID_MEMORY_SHARE = 0.08  # of the free memory
 MIN_REQUEST_IDS, MAX_REQUEST_IDS = 1000, 4096
+SERVER_MEMORY_SHARE = 0.2  # of the free memory: the longest list of servers that is taken
+MIN_MAX_SERVERS = 4096  # in a list that is taken, however little memory there is
 USUAL_MIN_BODY_BYTES = 2 * 2**20  # if the connections leave as much, however little is free
 MIN_CONNECTIONS = 128  # also where the limit is too low
 # Part of the descriptors that clients may hold for their requests; as many connections lead to servers then.
@@ -23,21 +28,39 @@
 CLIENT_CONNECTION_SHARE = 0.5  # of the connections that there is memory for; the others lead to servers
 
 
+@dataclass(slots=True, frozen=True)
+class TableSizes:
+    """Limits on the entries of tables, which stay as they are for the life of a process."""
+
+    max_customers: int  # whose use of their quotas may be kept
+    max_request_ids: int  # of requests that do not run again
+    max_servers: int  # in a list of servers that is taken
+
+    @classmethod
+    def of(cls, free_bytes: int) -> TableSizes:
+        """Return the limits for a process with so much memory above what it holds at rest."""
+        affordable_ids = int(REQUEST_ID_MEMORY_SHARE * free_bytes) // REQUEST_ID_BYTES
+        return cls(
+            max(int(CUSTOMER_MEMORY_SHARE * free_bytes) // CUSTOMER_BYTES, MIN_CUSTOMERS),
+            min(max(affordable_ids, MIN_REQUEST_IDS), MAX_REQUEST_IDS),
+            max(int(SERVER_MEMORY_SHARE * free_bytes) // LISTED_SERVER_BYTES, MIN_MAX_SERVERS),
+        )
+
+
 class MemoryPlan:
     """Divides what a process may hold, `limit_bytes`, of which it holds `resident_bytes` at rest.
 
-    `sockets` is the number of its descriptors. Connections that clients may hold for their requests are
-    planned for before they are open: bodies that had been admitted in their place could not be taken back.
-    The parts add up to the limit at the most, unless it leaves too little for the least of them, which
-    `shortage_bytes` tells.
+    `sockets` is the number of its descriptors, `servers` the number of listed servers. Connections that
+    clients may hold for their requests are planned for before they are open: bodies that had been admitted in
+    their place could not be taken back. The parts add up to the limit at the most, unless it leaves too
+    little for the least of them, which `shortage_bytes` tells.
     """
 
     __slots__ = (
         "limit_bytes",
         "resident_bytes",
-        "free_bytes",
-        "max_customers",
-        "max_request_ids",
+        "tables",
+        "servers",
         "fixed_bytes",
         "max_connections",
         "max_client_connections",
@@ -48,16 +71,24 @@
         "_usual_body_bytes",
     )
 
-    def __init__(self, limit_bytes: int, resident_bytes: int, sockets: int) -> None:
-        self.limit_bytes, self.resident_bytes = limit_bytes, resident_bytes
-        self.free_bytes = free_bytes = max(limit_bytes - resident_bytes, 0)
-        # Customers whose use of their quotas may be kept, and ids of requests that do not run again.
-        self.max_customers = max(int(CUSTOMER_MEMORY_SHARE * free_bytes) // CUSTOMER_BYTES, MIN_CUSTOMERS)
-        affordable_ids = int(REQUEST_ID_MEMORY_SHARE * free_bytes) // REQUEST_ID_BYTES
-        self.max_request_ids = min(max(affordable_ids, MIN_REQUEST_IDS), MAX_REQUEST_IDS)
+    def __init__(
+        self,
+        limit_bytes: int,
+        resident_bytes: int,
+        sockets: int,
+        servers: int = 0,
+        tables: TableSizes | None = None,
+    ) -> None:
+        """`tables` are those that the process has already; None: those that fit."""
+        self.limit_bytes, self.resident_bytes, self.servers = limit_bytes, resident_bytes, servers
+        free_bytes = max(limit_bytes - resident_bytes, 0)
+        self.tables = tables or TableSizes.of(free_bytes)
         # What is set aside, whatever the connections hold.
         self.fixed_bytes = (
-            RESERVED_BYTES + self.max_customers * CUSTOMER_BYTES + self.max_request_ids * REQUEST_ID_BYTES
+            RESERVED_BYTES
+            + self.tables.max_customers * CUSTOMER_BYTES
+            + self.tables.max_request_ids * REQUEST_ID_BYTES
+            + servers * LISTED_SERVER_BYTES
         )
         self._left_bytes = free_bytes - self.fixed_bytes
         least_body_bytes = MIN_BODY_BYTES * BYTES_PER_COUNTED_BYTE
--- a/yewstage/net/pool.py
+++ b/yewstage/net/pool.py
@@ -149,6 +149,8 @@
 class WaiterQueue:
     """Waiters for links to one server: first in, first out within a class, the classes in turn."""
 
+    __slots__ = ("_queues", "count")
+
     def __init__(self) -> None:
         self._queues: dict[str, dict[Waiter, None]] = {}  # by class; the class whose turn is next comes first
         self.count = 0
@@ -207,8 +209,9 @@
     def __init__(self, name: str, address: tuple[str, int], started_ms: float) -> None:
         self.name, self.address, self.started_ms = name, address, started_ms
         self.idle: list[Link] = []  # the most recently used last
-        self.links: set[Link] = set()
-        self.streaming: set[Link] = set()  # links that carry a streamed body at the client's pace
+        # Dictionaries, as empty sets of thousands of servers take much more.
+        self.links: dict[Link, None] = {}
+        self.streaming: dict[Link, None] = {}  # links that carry a streamed body at the client's pace
         self.dialling = 0
         self.waiters = WaiterQueue()
         self.is_draining = False  # links in use continue, none is kept idle
@@ -310,6 +313,10 @@
         """Names of the servers that can be dialled."""
         return set(self._servers)
 
+    def server_count(self) -> int:
+        """Number of servers that can be dialled."""
+        return len(self._servers)
+
     def metrics(self) -> dict[str, float]:
         """Metrics of links and dials by name."""
         idle = sum(len(server.idle) for server in self._servers.values())
@@ -486,18 +493,18 @@
         # Random, as links that became idle together in a whole fleet would otherwise be redialled together.
         link.idle_share = self._rng.uniform(*IDLE_LIMIT_SHARES)
         self._links.add(link)
-        link.server.links.add(link)
+        link.server.links[link] = None
 
     def mark_streaming(self, link: Link) -> None:
         """Exclude a link with a streamed body from its server's limit, as it is no work for the server."""
-        link.server.streaming.add(link)
+        link.server.streaming[link] = None
         self._dial_for_waiters()
 
     def remove(self, link: Link) -> None:
         """Stop counting a link that is about to close; `on_closed` follows."""
         self._links.discard(link)
-        link.server.links.discard(link)
-        link.server.streaming.discard(link)
+        link.server.links.pop(link, None)
+        link.server.streaming.pop(link, None)
 
     def on_closed(self, link: Link) -> None:
         """Called when a link is closed."""
@@ -513,7 +520,7 @@
 
     def release(self, link: Link, reusable: bool) -> None:
         """Return a link to the pool. It is closed unless it is reusable and everything was written."""
-        link.server.streaming.discard(link)
+        link.server.streaming.pop(link, None)
         if reusable and not link.has_unsent_data:
             self._hand_out(link)
         else:
--- a/yewstage/net/process.py
+++ b/yewstage/net/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import gc
 import json
 import logging
@@ -20,6 +21,7 @@
 from yewstage.net.client_request import ClassAndPlanNames
 from yewstage.net.config import Config, ConfigError, load, reload
 from yewstage.net.core import Core
+from yewstage.net.discovery import NO_LISTING
 from yewstage.net.handover import Handover
 from yewstage.net.ops import Ops
 
@@ -211,6 +213,7 @@
     """Run until the shutdown after SIGTERM or SIGINT is done. SIGHUP reloads the configuration."""
     loop = asyncio.get_running_loop()
     core = Core(config, loop)
+    config = dataclasses.replace(config, fallback_listing=NO_LISTING)  # which the core has
     server = ClientListener(core, loop, config.sockets)
     peers = await _open_peers(config, core, loop)
     handover = _handover(config, loop)
@@ -228,6 +231,7 @@
         log.info(address_event("ops", "operators' address", await ops.start(config.ops)))
     address = server.start(config.listen, config.listen_fd)
     coordinator.start()
+    core.plan_memory()
     log.info(
         Event(
             "links",
@@ -259,8 +263,10 @@
         print(error, file=sys.stderr)
         return 2
     configure_logging(config.name, config.log, {"gateway": config.name}, MAX_LOG_LINES_PER_S)
+    serving = serve(config)
+    del config  # its list of servers may be long, and is replaced soon
     try:
-        uvloop.run(serve(config))
+        uvloop.run(serving)
     except OSError as error:
         print(f"listen: {error}", file=sys.stderr)
         return 2
--- a/yewstage/net/process_memory.py
+++ b/yewstage/net/process_memory.py
@@ -7,7 +7,7 @@
 
 from yewstage.log import Event
 from yewstage.net.budget import MemoryBudget
-from yewstage.net.memory_plan import MemoryPlan
+from yewstage.net.memory_plan import LISTED_SERVER_BYTES, MemoryPlan, TableSizes
 from yewstage.net.stats import Stats
 
 log = logging.getLogger(__name__)
@@ -23,24 +23,55 @@
     memory: the budget is smaller by what the process holds above its mark, whoever holds it.
     """
 
-    def __init__(self, limit_bytes: int, sockets: int, stats: Stats, clock_s: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        limit_bytes: int,
+        sockets: int,
+        stats: Stats,
+        clock_s: Callable[[], float],
+    ) -> None:
         """`limit_bytes` and `sockets`, the descriptors, are those of all processes of this gateway.
 
         What the process holds now counts as held at rest.
         """
         self._stats, self._clock_s = stats, clock_s
         self._limit_bytes, self._resident_bytes = limit_bytes, stats.process.memory_bytes()[0]
-        self.plan = MemoryPlan(limit_bytes, self._resident_bytes, sockets)
+        self._sockets, self._is_shared, self._servers = sockets, False, 0
+        self.on_plan: Callable[[], None] = lambda: None  # called after each new plan
+        self._tables: TableSizes | None = None  # as the first plan has them
+        self.plan = self._create_plan()
+        self._tables = self.plan.tables
         self.overshoot_bytes = 0
         self.budget = MemoryBudget(self.plan.body_bytes(0), clock_s)
         self._high_logged_at_s = -HIGH_LOG_INTERVAL_S
         stats.descriptors.on_change = self.update
 
-    def plan_for(self, sockets: int, is_shared: bool) -> None:
-        """Plan for these descriptors; with half of all while another process of this gateway runs."""
-        processes = 2 if is_shared else 1
-        self.plan = MemoryPlan(self._limit_bytes // processes, self._resident_bytes, sockets // processes)
+    def set_limits(self, limit_bytes: int, sockets: int, is_shared: bool) -> None:
+        """Plan for these limits; with half of them while another process of this gateway runs."""
+        self._limit_bytes, self._sockets, self._is_shared = limit_bytes, sockets, is_shared
+        self._plan_again()
+
+    def set_servers(self, servers: int) -> None:
+        """Plan for a list of so many servers."""
+        if servers != self._servers:
+            self._servers = servers
+            self._plan_again()
+
+    def measure_at_rest(self) -> None:
+        """Take what the process holds now as held at rest, without its list; called before it serves."""
+        resident_bytes = self._stats.process.memory_bytes()[0] - self._servers * LISTED_SERVER_BYTES
+        self._resident_bytes = max(self._resident_bytes, resident_bytes)
+        self._plan_again()
+
+    def _plan_again(self) -> None:
+        self.plan = self._create_plan()
         self.update()
+        self.on_plan()
+
+    def _create_plan(self) -> MemoryPlan:
+        sockets = self._sockets // 2 if self._is_shared else self._sockets
+        limit_bytes = self._limit_bytes // 2 if self._is_shared else self._limit_bytes
+        return MemoryPlan(limit_bytes, self._resident_bytes, sockets, self._servers, self._tables)
 
     def update(self) -> None:
         """Adapt the budget to the open connections; called after each change of their number."""
@@ -65,11 +96,12 @@
             Event(
                 "memory_plan",
                 "memory: {resident_mb:.1f} of {limit_mb:.1f} MB at rest; {connections} connections, "
-                "{customers} customers, {held_mb:.1f} MB of heads and bodies",
+                "{customers} customers, {servers} servers, {held_mb:.1f} MB of heads and bodies",
                 resident_mb=plan.resident_bytes / MB,
                 limit_mb=plan.limit_bytes / MB,
                 connections=plan.max_connections,
-                customers=plan.max_customers,
+                customers=plan.tables.max_customers,
+                servers=plan.servers,
                 held_mb=plan.body_bytes(0) / MB,
             )
         )
