Plan with the memory limit of the new configuration at SIGHUP

The need: a new configuration may have other limits; that of the descriptors was applied, that of the memory was not, so that a process went on with the one of its start and would be killed at a lower one.

Cause: Core.reconfigure did not pass memory_mb on.

Change: it does; the plan, the budget and the limits on connections follow.

--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import json
+import signal
 from pathlib import Path
 
 import pytest
@@ -94,6 +96,21 @@
     check_memory_limit(tmp_path, ALL_KINDS, sockets, DISTURBED_CROWD_S, "upgrade", MEMORY_FOR_TWO_MB)
 
 
+# Guards against: a limit that was lowered by a new configuration was not known to the process.
+def test_a_lower_limit_at_sighup_holds_from_then_on(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with GatewayRig(tmp_path, serve, memory_mb=MEMORY_FOR_TWO_MB) as rig:
+            assert (await rig.metrics())["gateway_memory_limit_bytes"] == MEMORY_FOR_TWO_MB * MB
+            rig.config["limits"]["memory_mb"] = SMALLEST_MEMORY_MB
+            rig.path.write_text(json.dumps(rig.config))
+            rig.process.send_signal(signal.SIGHUP)
+            while not (metrics := await rig.metrics())["gateway_cfg_accepted_total"]:
+                await asyncio.sleep(0.01)
+            assert metrics["gateway_memory_limit_bytes"] == SMALLEST_MEMORY_MB * MB
+
+    run_on_loop(scenario)
+
+
 # Guards against: calls that were sent at once to the operators' address were all parsed ahead.
 @pytest.mark.parametrize(
     "data",
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -284,7 +284,7 @@
         )
         self.stats.add_classes(c.name for c in config.settings.classes)
         self._pool.set_timeouts(config.dial_timeout_ms, config.idle_limit_ms)
-        self._sockets = config.sockets
+        self._sockets, self._memory_bytes = config.sockets, config.memory_bytes()
         self.max_upload_bytes = config.max_upload_bytes
         self.share_descriptors(self.is_sharing_descriptors)
         self._post(api.Retuned(self.settings))
