Leave half of the memory to the other process where an upgrade may come

Cause: a process planned with the whole limit until it saw another one, and what it held by then stays.

Change: where the platform holds the listening socket, so that an upgrade may come, a process plans with half of the limit from its start, if a process can do with that; else as before.

--- a/tests/test_memory_plan.py
+++ b/tests/test_memory_plan.py
@@ -92,11 +92,12 @@
     resident_mb: list[float],
     now_s: list[float],
     limit_mb: int = LEAST_MEMORY_MB,
+    may_be_upgraded: bool = False,
 ) -> tuple[ProcessMemory, Stats]:
     """A process whose resident memory and clock are these, as they are set last."""
     stats = Stats(())
     stats.process = SimpleNamespace(memory_bytes=lambda: (int(resident_mb[-1] * MB), 0))
-    memory = ProcessMemory(limit_mb * MB, LEAST_SOCKETS, stats, lambda: now_s[-1])
+    memory = ProcessMemory(limit_mb * MB, LEAST_SOCKETS, stats, lambda: now_s[-1], may_be_upgraded)
     return memory, stats
 
 
@@ -158,6 +159,29 @@
     assert memory.plan.tables == tables  # which the process has already
 
 
+# Guards against: a process held the whole limit when another one started beside it for an upgrade.
+@pytest.mark.parametrize(
+    ("limit_mb", "planned_mb"), [(LEAST_MEMORY_MB, LEAST_MEMORY_MB), (64, 32), (192, 96)]
+)
+def test_a_process_that_may_be_upgraded_leaves_half_if_that_suffices(limit_mb: int, planned_mb: int) -> None:
+    memory, _ = memory_with([23.0], [0.0], limit_mb, may_be_upgraded=True)
+    assert memory.plan.limit_bytes == planned_mb * MB
+    memory.set_limits(limit_mb * MB, LEAST_SOCKETS, True)
+    assert memory.plan.limit_bytes == limit_mb * MB // 2
+
+
+# Guards against: a limit that was lowered at SIGHUP changed nothing.
+def test_a_new_limit_is_planned_with() -> None:
+    memory, _ = memory_with([23.0], [0.0], 64)
+    memory.set_limits(LEAST_MEMORY_MB * MB, LEAST_SOCKETS, False)
+    assert memory.plan.limit_bytes == LEAST_MEMORY_MB * MB
+    assert memory.budget.limit_bytes == memory.plan.body_bytes(0)
+    plans = []
+    memory.on_plan = lambda: plans.append(memory.plan.limit_bytes)
+    memory.set_limits(64 * MB, LEAST_SOCKETS, False)
+    assert plans == [64 * MB]
+
+
 # Guards against: the list of servers was no part of the plan, nor what is loaded after the first measure.
 def test_the_plan_has_the_list_of_servers_and_what_the_process_holds_when_it_begins_to_serve() -> None:
     resident_mb = [23.0]
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -176,6 +176,7 @@
             config.sockets,
             self.stats,
             loop.time,
+            may_be_upgraded=config.listen_fd is not None,
         )
         tables = self.memory.plan.tables
         self._max_customers = tables.max_customers
--- a/yewstage/net/process_memory.py
+++ b/yewstage/net/process_memory.py
@@ -29,12 +29,14 @@
         sockets: int,
         stats: Stats,
         clock_s: Callable[[], float],
+        may_be_upgraded: bool = False,
     ) -> None:
         """`limit_bytes` and `sockets`, the descriptors, are those of all processes of this gateway.
 
-        What the process holds now counts as held at rest.
+        What the process holds now counts as held at rest. With `may_be_upgraded` another process may start
+        beside this one, so each has half of the memory from the start, if that suffices for a process.
         """
-        self._stats, self._clock_s = stats, clock_s
+        self._stats, self._clock_s, self._may_be_upgraded = stats, clock_s, may_be_upgraded
         self._limit_bytes, self._resident_bytes = limit_bytes, stats.process.memory_bytes()[0]
         self._sockets, self._is_shared, self._servers = sockets, False, 0
         self.on_plan: Callable[[], None] = lambda: None  # called after each new plan
@@ -70,7 +72,12 @@
 
     def _create_plan(self) -> MemoryPlan:
         sockets = self._sockets // 2 if self._is_shared else self._sockets
-        limit_bytes = self._limit_bytes // 2 if self._is_shared else self._limit_bytes
+        half = self._plan_with(self._limit_bytes // 2, sockets)
+        if self._is_shared or (self._may_be_upgraded and not half.shortage_bytes):
+            return half
+        return self._plan_with(self._limit_bytes, sockets)
+
+    def _plan_with(self, limit_bytes: int, sockets: int) -> MemoryPlan:
         return MemoryPlan(limit_bytes, self._resident_bytes, sockets, self._servers, self._tables)
 
     def update(self) -> None:
