Show what the process held when it began to serve, and its most sockets at once

The need: whether the parts of the memory plan are what the process takes can be told only by comparing its resident memory with what it held at rest, its connections and its counted bytes.

Change: gateway_memory_rest_bytes and gateway_sockets_peak among the metrics.

Measured: tests of metrics passed (test_owed, test_ops).

--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -389,6 +389,8 @@
             "held_bytes_peak": budget.peak_bytes,
             "held_bytes_limit": budget.limit_bytes,
             "memory_limit_bytes": self.memory.plan.limit_bytes,
+            "memory_rest_bytes": self.memory.plan.resident_bytes,
+            "sockets_peak": self.stats.descriptors.peak,
             "memory_overshoot_bytes": self.memory.overshoot_bytes,
             "streams_open": budget.stream_count(),
             "streams_stopped_total": budget.pause_count,
