Count each piece that a transport holds whole until its last byte is written

Cause: a transport keeps each piece of data whole until the last byte of it is written, while get_write_buffer_size, by which answers and uploads counted, tells only what is not written yet (test_a_piece_counts_whole_until_it_is_written_to_its_end shows it with a socket). A request that its server does not read at once, and the payload of a withheld attempt, were copies that did not count at all. Class: bytes that are held where nothing counts them.

Change: WriteBuffer counts pieces until all of them are written, for answers and uploads; a link counts a request that was not written at once; an attempt that has ended holds no payload.

--- a/yewstage/net/attempts.py
+++ b/yewstage/net/attempts.py
@@ -321,6 +321,7 @@
             return
         attempt.is_done, attempt.result, attempt.took_s = True, result, time.monotonic() - attempt.sent_at
         attempt.link = None
+        attempt.payload, attempt.body = b"", None  # copies of what the request has
         if attempt.timer is not None:
             attempt.timer.cancel()
         # A body of which nothing was sent is still complete and can be sent to another server.
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -26,6 +26,7 @@
     unread_bytes,
 )
 from yewstage.net.upload import Upload
+from yewstage.net.write_buffer import WriteBuffer
 
 if TYPE_CHECKING:
     from yewstage.net.client_listener import ClientListener
@@ -102,6 +103,7 @@
         "_delivery",
         "_request_account",
         "_answer_account",
+        "_write_buffer",
         "_open_request_bytes",
         "_read_paused_at_s",
         "_write_blocked_at_s",
@@ -144,6 +146,7 @@
         self._delivery = Delivery()
         self._request_account = listener.core.budget.open_account("requests")
         self._answer_account = listener.core.budget.open_account("answers")
+        self._write_buffer = WriteBuffer()
         self._open_request_bytes = 0  # head and body of the request being processed
         self._read_paused_at_s: float | None = None  # None: reading
         self._write_blocked_at_s: float | None = None  # None: the write buffer is empty
@@ -350,7 +353,8 @@
 
     def resume_writing(self) -> None:
         self._write_blocked_at_s = None
-        self._answer_account.set(self.transport.get_write_buffer_size())
+        self._write_buffer.emptied()
+        self._answer_account.set(0)
         if self._is_flushing:
             self._is_flushing = False
             self._answer_account.finish()
@@ -880,8 +884,8 @@
 
     def _write(self, data: bytes) -> None:
         if not self.transport.is_closing():
-            self.transport.write(data)
-            self._answer_account.set(self.transport.get_write_buffer_size())
+            self._write_buffer.write(self.transport, data)
+            self._answer_account.set(self._write_buffer.held_bytes)
 
     def _close_gracefully(self) -> None:
         """Shut down sending after the last answer and close when the client does, or after a time limit.
--- a/yewstage/net/pool.py
+++ b/yewstage/net/pool.py
@@ -15,7 +15,7 @@
 from typing import Protocol
 
 from yewstage import interface as api
-from yewstage.net.budget import MemoryBudget
+from yewstage.net.budget import MemoryAccount, MemoryBudget
 from yewstage.net.http1 import (
     CONNECT_CANCELLED,
     CONNECT_TIMED_OUT,
@@ -560,6 +560,7 @@
         self.opened_at_ms = 0.0  # Unix time in milliseconds
         self.local_port = 0  # for the log
         self._memory_account = pool.budget.open_account("answers")  # of the answer that is being buffered
+        self._unwritten_account: MemoryAccount | None = None  # of a request that was not written at once
         self._pending_reply: tuple[Exchange, Reply, bool] | None = None
         self._stream: Stream | None = None  # reader of the answer, if it is streamed
         self._unpassed: list[bytes] = []  # parts of the streamed body in the present read
@@ -600,10 +601,14 @@
             self._pool.mark_streaming(self)
             exchange.upload.attach(self, exchange.payload)
             return
-        self.write(exchange.payload)
-        exchange.payload = b""  # the transport holds what is not written yet
+        payload, exchange.payload = exchange.payload, b""  # the transport holds it until it is written
+        self.write(payload)
         if not self.has_unsent_data:
             self._pool.observer.on_sent(exchange)
+            return
+        if self._unwritten_account is None:
+            self._unwritten_account = self._pool.budget.open_account("requests")
+        self._unwritten_account.set(len(payload))
 
     def flushed(self) -> None:
         """Report once when the last byte of a request was written."""
@@ -612,8 +617,14 @@
             return
         if exchange.upload is None or exchange.upload.is_written:
             self.has_unsent_data = False
+            self._release_unwritten()
             self._pool.observer.on_sent(exchange)
 
+    def _release_unwritten(self) -> None:
+        """Count nothing of the request any more, as all of it is written or discarded."""
+        if self._unwritten_account is not None:
+            self._unwritten_account.set(0)
+
     def resume_writing(self) -> None:
         self.flushed()
         if self.exchange is not None and self.exchange.upload is not None:
@@ -816,4 +827,5 @@
     def lost(self) -> None:
         self._cancel_hold()
         self._memory_account.end()
+        self._release_unwritten()
         self._pool.on_closed(self)
--- a/yewstage/net/upload.py
+++ b/yewstage/net/upload.py
@@ -8,6 +8,7 @@
 from yewstage.net.budget import MemoryAccount
 from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES, ReplyProtocol, limit_socket_buffer
 from yewstage.net.socket_state import undelivered_bytes
+from yewstage.net.write_buffer import WriteBuffer
 
 LAST_CHUNK = b"0\r\n\r\n"
 
@@ -40,6 +41,7 @@
         self._unsent_bytes = 0
         self._last_part: bytes | None = None  # set while it waits for the parts before it to be written
         self._server_connection: ReplyProtocol | None = None
+        self._write_buffer = WriteBuffer()  # of the server connection
         self._unacknowledged_bytes = 0  # by the server's machine, as seen last
         self.is_complete = False  # received to its end
         # When its last byte arrived at this machine, by the monotonic clock; it may still lie unread in the
@@ -71,11 +73,9 @@
         self.is_complete = True
         data = self._framed(data) if data else b""
         self._last_part = data + (LAST_CHUNK if self._content_length is None else b"")
-        unwritten_bytes = 0
-        if self._server_connection is not None:
-            unwritten_bytes = self._server_connection.transport.get_write_buffer_size()
-        if unwritten_bytes:
-            self._set_held_bytes(unwritten_bytes + len(self._last_part))
+        server_connection = self._server_connection
+        if server_connection is not None and server_connection.transport.get_write_buffer_size():
+            self._set_held_bytes(self._write_buffer.held_bytes + len(self._last_part))
         else:
             self._forward_last_part()
 
@@ -111,6 +111,7 @@
         """Note that the server connection's write buffer is empty."""
         if self.is_closed:
             return
+        self._write_buffer.emptied()
         if self._last_part is not None:
             self._forward_last_part()
         else:
@@ -147,6 +148,6 @@
         if self._server_connection.transport.is_closing():
             return  # its connection_lost will be called
         if data:
-            self._server_connection.transport.write(data)
-        self._set_held_bytes(self._server_connection.transport.get_write_buffer_size())
+            self._write_buffer.write(self._server_connection.transport, data)
+        self._set_held_bytes(self._write_buffer.held_bytes)
         self._server_connection.flushed()
