Test what customers, ids, servers, connections and bytes take against the plan

The need: the plan sets aside so many bytes for each, and nothing compared that with what each takes.

--- /dev/null
+++ b/tests/test_memory_costs.py
@@ -0,0 +1,140 @@
+"""What each owner of memory takes, against what the plan sets aside for it."""
+
+from __future__ import annotations
+
+import gc
+import json
+import tracemalloc
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+from conftest import Driver, FakeHttpServer, actions_of, instance, run_on_loop, silent
+from crowd_rig import MB, CrowdRig, crowd, stand_in_servers
+from scripted_core import core_with
+
+from yewstage import interface as api
+from yewstage.net.discovery import load_listing
+from yewstage.net.memory_plan import (
+    BYTES_PER_COUNTED_BYTE,
+    CONNECTION_BYTES,
+    CUSTOMER_BYTES,
+    LISTED_SERVER_BYTES,
+    REQUEST_ID_BYTES,
+    RESERVED_BYTES,
+)
+from yewstage.request_ids import RequestIds
+
+CUSTOMERS = 2000
+REQUEST_IDS = 4000
+LONGEST_ID_BYTES = 128
+SERVERS = 3200
+AMPLE_MEMORY_MB, SOCKETS = 192, 1024  # so that nothing is short
+CLIENTS = SOCKETS // 3
+CROWD_S = 4.0
+LIMIT_S = 60.0
+
+
+def traced_bytes(work: Callable[[], object]) -> tuple[int, int]:
+    """The bytes that some work leaves allocated, and its peak."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        kept = work()
+        gc.collect()
+        left_bytes, peak_bytes = tracemalloc.get_traced_memory()
+        del kept
+        return left_bytes, peak_bytes
+    finally:
+        tracemalloc.stop()
+
+
+@pytest.mark.parametrize("plan", ["open", "basic", "capped"])
+def test_a_customer_takes_no_more_than_the_plan_has_for_it(plan: str) -> None:
+    driver = Driver(max_customers=10 * CUSTOMERS)
+
+    def serve_each() -> None:
+        for number in range(CUSTOMERS):
+            request, actions = driver.ask(plan=plan, customer=f"{number:016x}")
+            if actions_of(actions, api.Send):
+                driver.end(request)
+            driver.log.clear()
+
+    left_bytes, _ = traced_bytes(serve_each)
+    assert len(driver.gateway.customer_quotas) == CUSTOMERS
+    assert left_bytes <= CUSTOMERS * CUSTOMER_BYTES
+
+
+def test_a_request_id_takes_no_more_than_the_plan_has_for_it() -> None:
+    request_ids = RequestIds(60.0, REQUEST_IDS)
+
+    def keep_each() -> None:
+        for number in range(REQUEST_IDS):
+            request_ids.keep((f"{number}".rjust(LONGEST_ID_BYTES, "i"),), float(number) / REQUEST_IDS)
+
+    left_bytes, _ = traced_bytes(keep_each)
+    assert len(request_ids.ids()) == REQUEST_IDS
+    assert left_bytes <= REQUEST_IDS * REQUEST_ID_BYTES
+
+
+# Guards against: the list of servers was no part of the plan, and most was taken while it was parsed.
+@pytest.mark.parametrize("indent", [None, 4])
+def test_a_listed_server_takes_no_more_than_the_plan_has_for_it(
+    monkeypatch: pytest.MonkeyPatch, indent: int | None
+) -> None:
+    async def scenario() -> None:
+        core, _ = await core_with(monkeypatch, FakeHttpServer(silent))
+        instances = [instance(f"s-{number:08x}", 10_000 + number) for number in range(SERVERS)]
+        raw = {"generation": 2, "reset": True, "instances": instances}
+        text = json.dumps(raw, indent=indent).encode()
+
+        def apply_list() -> None:
+            copies = bytearray(text)  # as it is received, and as it is passed on
+            core._on_list(load_listing(bytes(copies), SERVERS))
+
+        def apply_two_lists() -> None:
+            apply_list()
+            apply_list()
+
+        _, peak_bytes = traced_bytes(apply_two_lists)
+        assert core._pool.server_count() == SERVERS
+        assert peak_bytes <= SERVERS * LISTED_SERVER_BYTES
+        core.stop()
+
+    run_on_loop(scenario)
+
+
+# Guards against: what a process holds grew by more than its connections and its counted bytes explain.
+@pytest.mark.parametrize(
+    "kind",
+    [
+        "idle",
+        "waiting",
+        "slow_body",
+        "half_of_a_short_body",
+        "upload_that_nobody_reads",
+        "endless_trailer",
+        "many_with_fields_at_once",
+        "reader_of_long",
+        "reader_of_until_close",
+        "reader_of_short_fields",
+        "reader_of_endless_trailer",
+    ],
+)
+def test_a_process_takes_no_more_than_the_plan_has_for_what_it_holds(tmp_path: Path, kind: str) -> None:
+    async def scenario() -> None:
+        async with (
+            stand_in_servers() as ports,
+            CrowdRig(tmp_path, ports, memory_mb=AMPLE_MEMORY_MB, sockets=SOCKETS) as rig,
+        ):
+            await crowd(rig, kind, CLIENTS, CROWD_S)
+            metrics = await rig.metrics()
+            planned_bytes = (
+                metrics["gateway_memory_rest_bytes"]
+                + RESERVED_BYTES
+                + metrics["gateway_sockets_peak"] * CONNECTION_BYTES
+                + metrics["gateway_held_bytes_peak"] * BYTES_PER_COUNTED_BYTE
+            )
+            assert rig.peak.highest <= planned_bytes, f"{rig.peak.highest / MB:.1f} MB"
+
+    run_on_loop(scenario, LIMIT_S)
