Bound what the counter, discovery and operators may hold by the reserve of the plan

Cause: limits that were chosen for one connection, and no sum over all. Class: who may hold how much.

Change: an answer of the counter has at most 1 KiB after a head of 8 KiB, a head of discovery 16 KiB, a call of operators 4 KiB. At most 96 calls are in progress on each connection to the counter; one more fails at once as if the counter could not be reached, so nothing of it is counted. A test adds all of it up against the reserve.

--- a/tests/test_memory_costs.py
+++ b/tests/test_memory_costs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import gc
 import json
 import tracemalloc
@@ -9,11 +10,22 @@
 from pathlib import Path
 
 import pytest
-from conftest import Driver, FakeHttpServer, actions_of, instance, run_on_loop, silent
+from conftest import (
+    LOOP,
+    Driver,
+    FakeHttpServer,
+    GatewayRig,
+    actions_of,
+    instance,
+    run_on_loop,
+    serve,
+    silent,
+)
 from crowd_rig import MB, CrowdRig, crowd, stand_in_servers
 from scripted_core import core_with
 
 from yewstage import interface as api
+from yewstage.net import counter, discovery, ops
 from yewstage.net.discovery import load_listing
 from yewstage.net.memory_plan import (
     BYTES_PER_COUNTED_BYTE,
@@ -23,6 +35,7 @@
     REQUEST_ID_BYTES,
     RESERVED_BYTES,
 )
+from yewstage.net.receive_buffer import READ_BYTES
 from yewstage.request_ids import RequestIds
 
 CUSTOMERS = 2000
@@ -33,6 +46,9 @@
 CLIENTS = SOCKETS // 3
 CROWD_S = 4.0
 LIMIT_S = 60.0
+# Parts of the reserve.
+OPERATORS_ANSWER_BYTES = 10 * 1024
+COUNTER_CALL_BYTES = 1000
 
 
 def traced_bytes(work: Callable[[], object]) -> tuple[int, int]:
@@ -104,6 +120,53 @@
     run_on_loop(scenario)
 
 
+# Guards against: what single owners may hold together was more than the reserve that is said to have it.
+def test_the_reserve_suffices_for_all_that_is_not_counted() -> None:
+    operators_bytes = ops.MAX_CONNECTIONS * (
+        2 * ops.MAX_CALL_HEAD_BYTES + ops.MAX_CALL_BODY_BYTES + OPERATORS_ANSWER_BYTES
+    )
+    counter_connections = 2 * counter.CONNECTIONS  # those of the address before stay open for a moment
+    counter_bytes = counter_connections * (2 * counter.MAX_ANSWER_HEAD_BYTES + counter.MAX_ANSWER_BODY_BYTES)
+    calls_bytes = counter.CONNECTIONS * counter.MAX_CALLS_IN_PROGRESS * COUNTER_CALL_BYTES
+    discovery_bytes = (
+        2 * discovery.MAX_LIST_HEAD_BYTES
+    )  # the text of the list is a part of LISTED_SERVER_BYTES
+    assert READ_BYTES + operators_bytes + counter_bytes + calls_bytes + discovery_bytes <= RESERVED_BYTES
+
+
+def test_an_answer_to_operators_takes_no_more_than_the_reserve_has_for_it(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with GatewayRig(tmp_path, serve) as rig:
+            assert len((await rig.ops("/ops/stats")).body) <= OPERATORS_ANSWER_BYTES
+
+    run_on_loop(scenario)
+
+
+# Guards against: calls to a counter that is silent waited without a limit on their number.
+def test_calls_to_a_silent_counter_take_no_more_than_the_reserve_has_for_them() -> None:
+    async def scenario() -> None:
+        silent_counter = await FakeHttpServer(silent).start()
+        replies: list[api.CountReply] = []
+        calls = counter.Counter(
+            asyncio.get_running_loop(), (LOOP, silent_counter.port), 1000.0, replies.append
+        )
+        calls.start()
+        capacity = counter.CONNECTIONS * counter.MAX_CALLS_IN_PROGRESS
+
+        def call_each() -> None:
+            for number in range(capacity):
+                calls.call(api.Count(f"quota-{number:030}", 1.0, 60_000.0))
+
+        left_bytes, _ = traced_bytes(call_each)
+        assert not replies and left_bytes <= capacity * COUNTER_CALL_BYTES
+        calls.call(api.Count("one more", 1.0, 60_000.0))
+        assert [reply.result for reply in replies] == [api.CONNECT_FAILED]
+        calls.stop()
+        silent_counter.stop()
+
+    run_on_loop(scenario)
+
+
 # Guards against: what a process holds grew by more than its connections and its counted bytes explain.
 @pytest.mark.parametrize(
     "kind",
--- a/yewstage/net/counter.py
+++ b/yewstage/net/counter.py
@@ -14,6 +14,9 @@
 from yewstage.net.http1 import ConnectAttempt, Reply, ReplyProtocol
 from yewstage.net.stats import DescriptorUse
 
+MAX_ANSWER_BODY_BYTES, MAX_ANSWER_HEAD_BYTES = 1024, 8 * 1024
+# Of one connection; a call beyond that fails at once, as if the counter could not be reached.
+MAX_CALLS_IN_PROGRESS = 96
 CONNECTIONS = 4  # a slow call delays only those that are pipelined behind it on the same connection
 DIAL_TIMEOUT_S = 0.25
 MIN_BACKOFF_S, MAX_BACKOFF_S = 0.05, 1.0
@@ -130,6 +133,8 @@
 
     def is_usable(self) -> bool:
         """Whether a call can be written, or queued until a dial ends: not during a backoff."""
+        if len(self._calls) >= MAX_CALLS_IN_PROGRESS:
+            return False
         return (
             self._connection is not None
             or self._dial is not None
@@ -242,7 +247,7 @@
 
 class _Connection(ReplyProtocol):
     def __init__(self, slot: _Slot) -> None:
-        super().__init__()
+        super().__init__(MAX_ANSWER_BODY_BYTES, MAX_ANSWER_HEAD_BYTES)
         self._slot = slot
 
     def resume_writing(self) -> None:
--- a/yewstage/net/discovery.py
+++ b/yewstage/net/discovery.py
@@ -29,6 +29,7 @@
 READ_GRACE_S = 0.002
 BACKOFF_PER_GATEWAY_S = 0.1  # per gateway of the fleet, as all may be refused at the same time
 DEFAULT_MAX_SERVERS = 8192  # in a list that is taken
+MAX_LIST_HEAD_BYTES = 16 * 1024  # of an answer with a list
 LISTED_SERVER_TEXT_BYTES = 512  # of one server in an answer, also where it is indented
 STATUS_BY_LIFECYCLE = {"ready": "up", "draining": "draining", "gone": "removed"}
 
@@ -318,7 +319,7 @@
     """Connection to the agent."""
 
     def __init__(self, owner: Discovery) -> None:
-        super().__init__(owner.max_list_bytes())
+        super().__init__(owner.max_list_bytes(), MAX_LIST_HEAD_BYTES)
         self._owner = owner
         self.is_waiting = False
 
--- a/yewstage/net/http1.py
+++ b/yewstage/net/http1.py
@@ -16,6 +16,7 @@
 
 MAX_BUFFERED_BODY_BYTES = 64 * 1024  # bytes buffered whole; longer bodies are streamed
 MAX_ANSWER_HEAD_BYTES = 128 * 1024  # of one answer; the same holds for its trailer
+MAX_KEPT_HEAD_BYTES = 64 * 1024  # of the fields of a head that are kept
 SOCKET_BUFFER_BYTES = 128 * 1024  # kernel buffer of a socket that carries a streamed body, per direction
 MAX_HEADER_FIELDS = 256  # of one message, as each field takes memory beside its text
 MAX_LIST_BYTES = 4 * 1024 * 1024  # bytes of an answer with a list of servers
@@ -110,19 +111,22 @@
 class ReplyProtocol(asyncio.BufferedProtocol):
     """Parses answers; subclasses implement `replied` and `lost`.
 
-    An answer that exceeds `max_body_bytes` and the allowance for its head aborts the connection.
+    An answer that exceeds `max_body_bytes` and the allowance for its head, `max_head_bytes`, aborts the
+    connection; so does a head or a trailer that exceeds the latter.
     """
 
     kept_headers: Collection[bytes] | None = None  # names in lower case of those to keep; None: all
 
-    def __init__(self, max_body_bytes: int = MAX_BUFFERED_BODY_BYTES) -> None:
+    def __init__(
+        self, max_body_bytes: int = MAX_BUFFERED_BODY_BYTES, max_head_bytes: int = MAX_ANSWER_HEAD_BYTES
+    ) -> None:
         self.transport: asyncio.Transport | None = None
         self.use: DescriptorUse | None = None  # the count that includes its descriptor
         self.has_unsent_data = False  # the write buffer is not empty
         self.close_cause = ""  # for the log
         self._parser = httptools.HttpResponseParser(self)
-        self._parser_input = ParserInput(MAX_ANSWER_HEAD_BYTES)
-        self._max_body_bytes = max_body_bytes
+        self._parser_input = ParserInput(max_head_bytes)
+        self._max_kept_bytes = max_body_bytes + min(max_head_bytes, MAX_KEPT_HEAD_BYTES)
         self._reset()
 
     def _reset(self) -> None:
@@ -241,6 +245,6 @@
 
     def _count_received_bytes(self, size: int) -> None:
         self._size += size
-        if self._size > self._max_body_bytes + MAX_BUFFERED_BODY_BYTES:
+        if self._size > self._max_kept_bytes:
             self.close_cause = "answer too long"
             self.abort()
--- a/yewstage/net/ops.py
+++ b/yewstage/net/ops.py
@@ -10,7 +10,7 @@
 
 MAX_CONNECTIONS = 16  # reserved for operators, beyond those of clients and servers
 CALL_TIMEOUT_S = 5.0  # for receiving a call, and for the caller to read the answer
-MAX_CALL_HEAD_BYTES, MAX_CALL_BODY_BYTES = 8 * 1024, 1024
+MAX_CALL_HEAD_BYTES, MAX_CALL_BODY_BYTES = 4 * 1024, 1024
 
 
 class Ops:
