--- a/tests/crowd_rig.py
+++ b/tests/crowd_rig.py
@@ -173,22 +173,23 @@
             await self.launch()
         await asyncio.Event().wait()
 
-    async def upgrade(self) -> None:
-        """Start another process beside the present one, and end that one, again and again.
+    async def end_and_restart(self) -> None:
+        """End the process by SIGTERM and start it anew, again and again."""
+        while True:
+            await asyncio.sleep(KILL_INTERVAL_S)
+            self.sample()
+            self._is_killed = True
+            await end_process(self.process)
+            await self.launch()
 
-        A process that has not ended by then is killed at the earliest moment that the pages allow.
-        """
+    async def upgrade(self) -> None:
+        """Start another process beside the present one, and end that one, again and again."""
         while True:
             await asyncio.sleep(UPGRADE_INTERVAL_S)
             old = self.process
             await self.spawn()
             await asyncio.sleep(UPGRADE_READY_S)
-            old.send_signal(signal.SIGTERM)
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(old.wait(), KILL_AFTER_SIGTERM_S)
-            if old.returncode is None:
-                old.kill()
-                await old.wait()
+            await end_process(old)
 
     async def reconfigure(self) -> None:
         """Send SIGHUP again and again."""
@@ -207,9 +208,20 @@
             await self.directory.tell(instances)
 
 
+async def end_process(process: asyncio.subprocess.Process) -> None:
+    """Send SIGTERM, and SIGKILL at the earliest moment that the pages allow."""
+    process.send_signal(signal.SIGTERM)
+    with contextlib.suppress(TimeoutError):
+        await asyncio.wait_for(process.wait(), KILL_AFTER_SIGTERM_S)
+    if process.returncode is None:
+        process.kill()
+        await process.wait()
+
+
 DISTURBANCES: dict[str, Callable[[CrowdRig], Awaitable[None]]] = {
     "none": CrowdRig.watch,
     "kill": CrowdRig.kill_and_restart,
+    "term": CrowdRig.end_and_restart,
     "series": CrowdRig.kill_in_series,
     "sighup": CrowdRig.reconfigure,
     "list": CrowdRig.change_list,
