--- a/tests/crowding_client.py
+++ b/tests/crowding_client.py
@@ -1,6 +1,6 @@
 """Many clients that are slow, stop half way or send much that is short; they run in a process of their own.
 
-Usage: python crowding_client.py PORT KIND CONNECTIONS SECONDS
+Usage: python crowding_client.py PORT KINDS CONNECTIONS SECONDS, with commas between several kinds
 """
 
 from __future__ import annotations
@@ -30,6 +30,7 @@
 RESET_AFTER_READS = 3
 LONGEST_ID_BYTES = 128
 LEAVE_AFTER_S = 0.02
+REGULAR_PACE_S = 0.05
 ENDLESS_PIECE = b"v" * 32 * 1024
 request_numbers = itertools.count()
 
@@ -57,9 +58,9 @@
             await self.send(data[start : start + PACED_BYTES])
             await asyncio.sleep(PACE_S)
 
-    async def receive(self) -> None:
+    async def receive(self) -> bytes:
         """Wait for an answer, or for the end of the connection."""
-        await self._loop.sock_recv(self._socket, 2**16)
+        return await self._loop.sock_recv(self._socket, 2**16)
 
     async def receive_some(self) -> None:
         """Read once at 64 kB/s."""
@@ -265,6 +266,15 @@
         await asyncio.sleep(PACE_S)
 
 
+async def regular(client: Client) -> None:
+    """One short request after the other on the same connection, until its end."""
+    while time.monotonic() < client.until:
+        await client.send(get())
+        if not await client.receive():
+            return
+        await asyncio.sleep(REGULAR_PACE_S)
+
+
 async def idle(client: Client) -> None:
     await client.receive()
 
@@ -334,6 +344,7 @@
             new_customers_that_leave,
             endless_nonsense,
             endless_extension,
+            regular,
             idle,
             half_of_a_line,
             reset_at_once,
@@ -363,10 +374,14 @@
 ALL_KINDS = "all"  # each connection has the next kind, and another one after its end
 
 
-async def run_again(port: int, kind: str, until: float, number: int) -> None:
-    """Do the same on one connection after the other."""
-    kinds = itertools.cycle(CROWD_KINDS if kind == ALL_KINDS else (kind,))
-    for own_kind in itertools.islice(kinds, number % len(CROWD_KINDS), None):
+def kinds_of(text: str) -> list[str]:
+    """The kinds that an argument names: one, some with commas between them, or all."""
+    return list(CROWD_KINDS) if text == ALL_KINDS else text.split(",")
+
+
+async def run_again(port: int, kinds: list[str], until: float, number: int) -> None:
+    """Do what the kinds do on one connection after the other."""
+    for own_kind in itertools.islice(itertools.cycle(kinds), number % len(kinds), None):
         if time.monotonic() >= until:
             return
         client = Client(until)
@@ -381,7 +396,8 @@
     until = time.monotonic() + seconds
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(seconds):
-            await asyncio.gather(*[run_again(port, kind, until, number) for number in range(connections)])
+            kinds = kinds_of(kind)
+            await asyncio.gather(*[run_again(port, kinds, until, number) for number in range(connections)])
 
 
 if __name__ == "__main__":
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 import pytest
+import random_crowds
 from conftest import LOOP, GatewayRig, run_on_loop, serve
 from crowd_rig import DISTURBANCES, MB, UPGRADES, CrowdRig, crowd, stand_in_servers
 from crowding_client import ALL_KINDS, CROWD_KINDS
@@ -70,6 +71,17 @@
     check_memory_limit(tmp_path, ALL_KINDS, sockets, DISTURBED_CROWD_S, disturbance)
 
 
+# Guards against: a mixture of clients, limits and signals that no other test has passed the limit.
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_random_crowds_leave_the_process_within_its_memory(tmp_path: Path, seed: int) -> None:
+    async def scenario() -> None:
+        decided = random_crowds.scenario_of(seed)
+        peak_mb = await random_crowds.peak_mb(tmp_path, decided)
+        assert peak_mb <= decided.memory_mb, f"passed its memory limit: {peak_mb:.1f} MB under {decided}"
+
+    run_on_loop(scenario, LIMIT_S)
+
+
 # Guards against: the list of servers was no part of the plan, so that a long one came on top of it.
 @pytest.mark.parametrize("sockets", [256, 1024])
 @pytest.mark.parametrize("disturbance", ["none", "kill", "sighup", "list"])
