--- a/tests/crowd_rig.py
+++ b/tests/crowd_rig.py
@@ -22,6 +22,7 @@
 DOWN_S = 1.0  # before a killed process is started anew in a series
 SERIES_KILL_DELAY_S = 0.45  # from a start to the next kill of a series
 KILLS_IN_SERIES = 3
+RUNNING_S, STOPPED_S = 0.2, 0.4  # of a process that is stopped again and again
 UPGRADE_INTERVAL_S = 2.0
 UPGRADE_READY_S = 1.0  # from the start of a new process to the signal for the old one
 KILL_AFTER_SIGTERM_S = 3.7
@@ -191,6 +192,16 @@
             await asyncio.sleep(UPGRADE_READY_S)
             await end_process(old)
 
+    async def stall(self) -> None:
+        """Stop the process and let it continue, again and again, so that much waits for it at once."""
+        while True:
+            await asyncio.sleep(RUNNING_S)
+            self.process.send_signal(signal.SIGSTOP)
+            try:
+                await asyncio.sleep(STOPPED_S)
+            finally:
+                self.process.send_signal(signal.SIGCONT)
+
     async def reconfigure(self) -> None:
         """Send SIGHUP again and again."""
         while True:
@@ -223,6 +234,7 @@
     "kill": CrowdRig.kill_and_restart,
     "term": CrowdRig.end_and_restart,
     "series": CrowdRig.kill_in_series,
+    "stall": CrowdRig.stall,
     "sighup": CrowdRig.reconfigure,
     "list": CrowdRig.change_list,
 }
