Give a link to a server and the queue of its waiters modules of their own

A comment on the memory of an idle gateway that was not true any more is gone. No behaviour changes.

--- a/tests/rogue.py
+++ b/tests/rogue.py
@@ -9,7 +9,7 @@
 from yewstage import interface as api
 from yewstage.__main__ import main
 from yewstage.net.clients import ClientConnection
-from yewstage.net.pool import Link
+from yewstage.net.link import Link
 from yewstage.policy import Gateway
 
 
--- a/tests/test_answer_memory.py
+++ b/tests/test_answer_memory.py
@@ -10,7 +10,8 @@
 
 from yewstage.net.budget import LARGE_SHARE, MemoryBudget
 from yewstage.net.http1 import Reply
-from yewstage.net.pool import ANSWER_HEADERS, Link, Pool, _Server
+from yewstage.net.link import ANSWER_HEADERS, Link
+from yewstage.net.pool import Pool, PooledServer
 
 BUDGET_BYTES = 64 * 1024
 HEAD = b"HTTP/1.1 200 X\r\n"
@@ -72,7 +73,7 @@
 
 def link_of(pool: Pool) -> Link:
     """A link that awaits an answer."""
-    link = Link(pool, _Server("s-0", (LOOP, 1), 0.0))
+    link = Link(pool, PooledServer("s-0", (LOOP, 1), 0.0))
     link.transport, link.exchange = LinkTransport(), SimpleNamespace(upload=None, head_received_at=None)
     return link
 
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -14,7 +14,7 @@
 from test_streams import FullTransport
 
 from yewstage import interface as api
-from yewstage.net import pool as pool_module
+from yewstage.net import link as link_module
 from yewstage.net.client_listener import ClientListener
 from yewstage.net.client_request import RequestMessage
 from yewstage.net.clients import (
@@ -25,7 +25,8 @@
     REQUESTS_PER_TURN,
     ClientConnection,
 )
-from yewstage.net.pool import Link, Pool
+from yewstage.net.link import Link
+from yewstage.net.pool import Pool
 from yewstage.net.receive_buffer import READ_BYTES
 from yewstage.net.request_queue import REQUEST_OVERHEAD_BYTES, RequestQueue
 from yewstage.net.turns import TURNS_PER_ITERATION, TurnQueue
@@ -127,7 +128,7 @@
         link.data_received(b"x")
         assert transport.is_read  # nothing is left
         link._headers = {b"transfer-encoding": b"chunked"}
-        assert len(link.get_buffer(-1)) == pool_module.CHUNKED_READ_BYTES
+        assert len(link.get_buffer(-1)) == link_module.CHUNKED_READ_BYTES
 
     run_on_loop(scenario)
 
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -9,9 +9,10 @@
 from conftest import LOOP, message, run_on_loop
 from test_bodies import ScriptedServerRig, body_of
 
-from yewstage.net import pool as pool_module
+from yewstage.net import link as link_module
 from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES
-from yewstage.net.pool import ANSWER_STALL_S, LONGEST_OUTAGE_S, SHORT_STALL_S, SWEEP_INTERVAL_S, Link
+from yewstage.net.link import ANSWER_STALL_S, LONGEST_OUTAGE_S, SHORT_STALL_S, Link
+from yewstage.net.pool import SWEEP_INTERVAL_S
 from yewstage.net.socket_state import undelivered_bytes
 
 PART = b"x" * 100_000
@@ -82,7 +83,7 @@
     limit_s: float,
 ) -> None:
     assert ANSWER_STALL_S > 2 * LONGEST_OUTAGE_S  # the system sends again after at most that time
-    monkeypatch.setattr(pool_module, "undelivered_bytes", lambda transport: 1)
+    monkeypatch.setattr(link_module, "undelivered_bytes", lambda transport: 1)
     transport = SilentTransport()
     link = Link.__new__(Link)
     link.transport, link._is_paused, link._progress, link._progress_at = transport, False, (0, 0), 0.0
@@ -95,4 +96,4 @@
     link.check_progress(limit_s)
     assert not transport.is_aborted
     link.check_progress(limit_s + SWEEP_INTERVAL_S)
-    assert transport.is_aborted and link.close_reason == pool_module.STALLED
+    assert transport.is_aborted and link.close_reason == link_module.STALLED
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -16,8 +16,9 @@
 from yewstage import interface as api
 from yewstage.net.attempts import Attempt, AttemptRunner
 from yewstage.net.http1 import Reply
-from yewstage.net.pool import Source, WaiterQueue
+from yewstage.net.link import Source
 from yewstage.net.stats import Descriptors
+from yewstage.net.waiters import WaiterQueue
 from yewstage.policy import Gateway
 
 IDLE_MS = 15000
--- a/tests/test_write_buffer.py
+++ b/tests/test_write_buffer.py
@@ -17,7 +17,7 @@
 from yewstage.net.budget import MemoryBudget
 from yewstage.net.client_listener import ClientListener
 from yewstage.net.clients import ClientConnection
-from yewstage.net.pool import Link
+from yewstage.net.link import Link
 from yewstage.net.upload import Upload
 from yewstage.net.write_buffer import WriteBuffer
 
--- a/yewstage/net/attempts.py
+++ b/yewstage/net/attempts.py
@@ -13,7 +13,8 @@
 
 from yewstage import interface as api
 from yewstage.net.http1 import Reply
-from yewstage.net.pool import Link, Pool, Source, Stream
+from yewstage.net.link import Link, Source, Stream
+from yewstage.net.pool import Pool
 from yewstage.net.stats import DescriptorUse
 from yewstage.net.upload import Upload
 
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -14,9 +14,9 @@
 from yewstage.net.client_request import BadRequestError, RequestMessage, framing_header, parse_client_request
 from yewstage.net.delivery import Delivery
 from yewstage.net.http1 import MAX_BUFFERED_BODY_BYTES, limit_socket_buffer
+from yewstage.net.link import Source
 from yewstage.net.loop_monitor import STALL_THRESHOLD_S, ReadGap
 from yewstage.net.parser_input import ParserInput
-from yewstage.net.pool import Source
 from yewstage.net.receive_buffer import CHUNKED_READ_BYTES, READ_BYTES, receive_buffer, received_bytes
 from yewstage.net.request_queue import REQUEST_OVERHEAD_BYTES, RequestQueue, buffered_bytes
 from yewstage.net.socket_state import (
--- a/yewstage/net/config.py
+++ b/yewstage/net/config.py
@@ -27,7 +27,7 @@
 COUNT_WAIT_SHARE = 0.06  # of the shortest objective: the least time-out of a call to the counter
 # Of connections to servers.
 DEFAULT_DIAL_TIMEOUT_MS, DEFAULT_IDLE_LIMIT_MS = 250.0, 15000.0
-DEFAULT_MEMORY_MB, MIN_MEMORY_MB = 192, 24  # an idle gateway uses 14 MB
+DEFAULT_MEMORY_MB, MIN_MEMORY_MB = 192, 24
 DEFAULT_UPLOAD_MB, MIN_UPLOAD_MB = 32, 0.0625  # bodies up to the minimum are buffered, not streamed
 
 
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -25,8 +25,8 @@
 from yewstage.net.counter import Counter
 from yewstage.net.discovery import NO_LISTING, ON_REQUEST_TIMEOUTS, PUSHED_TIMEOUTS, Discovery, Listing
 from yewstage.net.http1 import Reply
+from yewstage.net.link import Source
 from yewstage.net.loop_monitor import LoopMonitor
-from yewstage.net.pool import Source
 from yewstage.net.process_memory import ProcessMemory
 from yewstage.net.stats import THROTTLED_STATUSES, DescriptorUse, Stats
 from yewstage.net.upload import Upload
