--- a/tests/crowding_client.py
+++ b/tests/crowding_client.py
@@ -29,6 +29,7 @@
 HEAD_PIECES = 15
 RESET_AFTER_READS = 3
 LONGEST_ID_BYTES = 128
+PADDING_BYTES = 100  # of long ids
 LEAVE_AFTER_S = 0.02
 REGULAR_PACE_S = 0.05
 ENDLESS_PIECE = b"v" * 32 * 1024
@@ -252,6 +253,18 @@
     client.reset()
 
 
+async def many_with_effects_at_once(client: Client) -> None:
+    """Requests with an effect and the longest ids, most of which are over their quota, without end."""
+    while time.monotonic() < client.until:
+        requests = (
+            message("put", plan="small", rid=b"%d" % next(request_numbers) + b"-" * PADDING_BYTES)
+            for _ in range(PIPELINED)
+        )
+        await client.send(b"".join(requests))
+        if not await client.receive():
+            return
+
+
 async def endless_nonsense(client: Client) -> None:
     """Something that is not HTTP, as fast as it goes."""
     while time.monotonic() < client.until:
@@ -342,6 +355,7 @@
             many_with_medium_answers_unread,
             reader_of_nothing,
             new_customers_that_leave,
+            many_with_effects_at_once,
             endless_nonsense,
             endless_extension,
             regular,
