Share the id of a request with the other process of an upgrade when it is sent

What callers saw: a request with an effect that was refused, say for its quota, promising no effect, and came again at the other process of an upgrade, was answered 409 though it had never run.

Cause: the id was shared as the request arrived, before it was decided whether it is sent.

Change: it is shared right before the first attempt. Of two processes that send one id still exactly one does; the other one answers 409 and its attempt is not made. Ids that may have run, or are open at the handover, are kept and handed over as before.

--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -15,6 +15,7 @@
 from test_departed_clients import WAYS_TO_LEAVE, Leave, connect, held_up
 from test_upgrade import wait_until_ready
 
+from yewstage import interface as api
 from yewstage.net.core import REPEATED_ID_STATUS
 from yewstage.net.shared_ids import FILE_NAME, SharedRequestIds
 from yewstage.request_ids import RequestIds
@@ -163,6 +164,37 @@
     run_on_loop(scenario, LIMIT_S)
 
 
+# Guards against: ids of refused requests filled the file of an upgrade, and could not come again.
+def test_an_id_is_shared_with_the_other_process_when_its_request_is_sent(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    async def scenario() -> None:
+        core, script = await core_with(monkeypatch, FakeHttpServer(silent))
+        other = SharedRequestIds(tmp_path)
+        other._own = b"other"
+        core.share_request_ids(SharedRequestIds(tmp_path))
+        core.take_over({})
+        other.open()
+        script.plan[api.Request] = [api.Refuse("r1", "quota", 0.0)]
+        refused = RecordingClient()
+        core.request(refused, dataclasses.replace(a_request(), client_id="refused"))
+        assert refused.statuses.get_nowait() == 503
+        assert not (tmp_path / FILE_NAME).read_bytes() and other.claim("refused")
+        script.plan[api.Request] = [api.Send("r2", "s-0", 5000)]
+        sent = RecordingClient()
+        core.request(sent, dataclasses.replace(a_request(), client_id="sent"))
+        assert sent.statuses.empty() and not other.claim("sent")
+        assert other.claim("of the other")
+        script.plan[api.Request] = [api.Send("r3", "s-0", 5000)]
+        repeated = RecordingClient()
+        core.request(repeated, dataclasses.replace(a_request(), client_id="of the other"))
+        assert repeated.statuses.get_nowait() == REPEATED_ID_STATUS
+        assert script.outcomes() == [api.START_EXPIRED]
+        core.stop()
+
+    run_on_loop(scenario)
+
+
 # Guards against: what the old process begins after the handover is unknown to the next one, and the reverse.
 def test_of_two_processes_that_begin_an_id_the_first_one_does(tmp_path: Path) -> None:
     old, new = SharedRequestIds(tmp_path), SharedRequestIds(tmp_path)
--- a/yewstage/net/core.py
+++ b/yewstage/net/core.py
@@ -460,22 +460,30 @@
         return request_id
 
     def _open_id(self, request: _OpenRequest, now: float) -> bool:
-        """Begin a request by its client's id.
-
-        False if one with this id may have run for a client that has left, or runs in the other process of an
-        upgrade.
-        """
+        """Begin a request by its client's id; False if one may have run for a client that has left."""
         client_id = request.client_request.client_id
         earlier = self._open_ids.get(client_id)
         if earlier is not None and self._runs_without_client(earlier):
             return False
         if not self._request_ids.may_begin(client_id, now):
             return False
-        if self._shared_ids is not None and not self._shared_ids.claim(client_id):
-            return False
         self._open_ids[client_id] = request
         return True
 
+    def _may_send(self, request: _OpenRequest) -> bool:
+        """Whether no other process of an upgrade has sent a request with this id; else this one is answered.
+
+        Only what is sent is shared, so that a refused request may come again at the other process.
+        """
+        if self._shared_ids is None or request.client_request.cls.effect == "safe":
+            return True
+        if any(attempt is not None for attempt in request.attempts):
+            return True  # it was asked before the first attempt
+        if self._shared_ids.claim(request.client_request.client_id):
+            return True
+        self._answer(request, REPEATED_ID_STATUS, why="id runs already")
+        return False
+
     def _runs_without_client(self, request: _OpenRequest) -> bool:
         """Whether a request may run whose client has left, or may have left."""
         client = request.client
@@ -643,6 +651,7 @@
             or request.client is None
             or now >= request.answer_by
             or number >= request.max_attempts
+            or not self._may_send(request)
         ):
             if request is not None:
                 request.attempts.append(None)
