--- a/tests/drive_crowds.py
+++ b/tests/drive_crowds.py
@@ -2,16 +2,18 @@
 
 Example: PYTHONPATH=.:tests python tests/drive_crowds.py --memory 32 --sockets 1024 slow_upload all:kill
 
-Each argument is a kind of `crowding_client`, or "all" for all kinds at once, with a disturbance of
-`crowd_rig` after a colon. The exit status is 1 if a gateway ended or passed its limit.
+Each argument is a kind of `crowding_client`, some with commas between them, or "all" for all kinds at once,
+with a disturbance of `crowd_rig` after a colon. The exit status is 1 if a gateway ended or passed its limit.
 """
 
 from __future__ import annotations
 
 import argparse
 import asyncio
+import re
 import sys
 import tempfile
+import time
 from contextlib import AsyncExitStack
 from pathlib import Path
 
@@ -19,7 +21,41 @@
 from crowd_rig import DISTURBANCES, MB, UPGRADES, CrowdRig, crowd, stand_in_servers
 from crowding_client import ALL_KINDS, CROWD_KINDS
 
+from yewstage.net.memory_plan import CONNECTION_BYTES, RESERVED_BYTES
+
 CLIENT_SHARE = 1 / 3  # of the descriptors of one gateway
+SOCKET_MEMORY_PATTERN = re.compile(r"skmem:\(r(?P<received>\d+),.*?,w(?P<unsent>\d+)")
+BUFFER_INTERVAL_S = 0.3
+
+
+def bytes_per_counted_byte(rig: CrowdRig, metrics: dict[str, float]) -> float:
+    """What a gateway took beside its connections and the reserve, for each byte that it counted."""
+    explained = metrics["gateway_memory_rest_bytes"] + RESERVED_BYTES
+    explained += metrics["gateway_sockets_peak"] * CONNECTION_BYTES
+    return max(rig.peak.highest - explained, 0.0) / max(metrics["gateway_held_bytes_peak"], 1.0)
+
+
+async def socket_buffers_mb(process_id: int) -> tuple[float, float]:
+    """What the system holds in the buffers of a process's sockets, in MB: received and not read, unsent."""
+    ss = await asyncio.create_subprocess_exec("ss", "-tmnpH", stdout=asyncio.subprocess.PIPE)
+    lines = (await ss.communicate())[0].decode().splitlines()
+    received = unsent = 0
+    for connection, memory in zip(lines[::2], lines[1::2], strict=False):
+        sizes = SOCKET_MEMORY_PATTERN.search(memory)
+        if f"pid={process_id}," in connection and sizes:
+            received += int(sizes["received"])
+            unsent += int(sizes["unsent"])
+    return received / MB, unsent / MB
+
+
+async def most_in_socket_buffers(rig: CrowdRig, seconds: float) -> tuple[float, float]:
+    """The largest sum of a gateway's socket buffers in that time."""
+    until = time.monotonic() + seconds
+    most = (0.0, 0.0)
+    while time.monotonic() < until:
+        most = max(most, await socket_buffers_mb(rig.process.pid), key=sum)
+        await asyncio.sleep(BUFFER_INTERVAL_S)
+    return most
 
 
 async def drive(work: str, arguments: argparse.Namespace) -> bool:
@@ -40,6 +76,8 @@
                 sockets=arguments.sockets,
             )
             rigs.append(await stack.enter_async_context(rig.hold() if disturbance in UPGRADES else rig))
+        if arguments.buffers:
+            watched = asyncio.create_task(most_in_socket_buffers(rigs[0], arguments.seconds))
         await asyncio.gather(
             *(crowd(rig, kind, connections, arguments.seconds, disturbance or "none") for rig in rigs)
         )
@@ -49,9 +87,13 @@
         words = ["ok  " if is_within else "OVER", f"{work:34}", f"{connections} clients"]
         words += [f"at rest {rigs[0].peak.at_rest / MB:.1f}", "peaks", *(f"{peak:.1f}" for peak in peaks)]
         print(*words, "ENDED" if has_ended else "", flush=True)
+        if arguments.buffers:
+            received_mb, unsent_mb = await watched
+            print(f"     socket buffers: at most {received_mb:.1f} MB received, {unsent_mb:.1f} MB unsent")
         if arguments.verbose:
             metrics = await rigs[0].metrics()
             print({name: value for name, value in metrics.items() if "bytes" in name or "bodies" in name})
+            print(f"     bytes for each counted one: {bytes_per_counted_byte(rigs[0], metrics):.2f}")
         return is_within
 
 
@@ -72,4 +114,5 @@
     parser.add_argument("--clients", type=int, default=0, help="default: a third of the descriptors")
     parser.add_argument("--seconds", type=float, default=8.0)
     parser.add_argument("--verbose", action="store_true", help="print metrics of the first gateway")
+    parser.add_argument("--buffers", action="store_true", help="print its socket buffers; needs ss(8)")
     sys.exit(uvloop.run(main(parser.parse_args())))
