Count twice what a parser holds of a field that has not ended

What was seen: with 32 MB and 1,024 descriptors, 341 readers of answers with endless trailers made a process grow by 1.87 bytes for each counted one beside 5 KiB a connection and the reserve, of the 2 that the plan allows, and in a drive beside other load it held 30.2 MB, 0.5 MB more than its connections, its counted bytes and the reserve explain by that; with 64 MB 45.2 in that drive.

Cause: a parser joins what it gets of a field to what it has, so both are there for a moment (the new test: 196,699 bytes for 98,329 fed), and pieces of ever new sizes leave gaps. Class: bytes that are held where nothing counts them.

Change: what a parser may hold of unfinished input counts twice; limits on heads and trailers stay.

--- a/tests/test_parser_input.py
+++ b/tests/test_parser_input.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import tracemalloc
+from types import SimpleNamespace
 
+import httptools
 import pytest
 from conftest import FakeHttpServer, message, run_on_loop, silent
 from scripted_core import core_with
@@ -16,6 +19,8 @@
 from yewstage.net.parser_input import ParserInput
 
 PIECE_BYTES = 4 * 1024
+FIELD_PIECE_BYTES, FIELD_PIECES = 8 * 1024, 12
+OBJECT_HEADERS_BYTES = 128  # beside the bytes of a field
 CHUNKED_REQUEST = message("put", drop="Content-Length", more=CHUNKED) + b"1\r\nx\r\n"
 CHUNKED_REPLY = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n"
 ENDLESS_REQUESTS = {
@@ -98,3 +103,20 @@
     assert held.bytes == MAX_HEAD_BYTES + 20 and held.is_too_long()
     held.clear()
     assert not held.bytes
+
+
+# Guards against: a parser takes twice the bytes of a field while more of it comes, and counted as once.
+def test_what_a_parser_takes_of_an_unfinished_field_is_counted() -> None:
+    held = ParserInput(MAX_HEAD_BYTES)
+    parser = httptools.HttpResponseParser(SimpleNamespace(on_header=lambda name, value: None))
+    head = b"HTTP/1.1 200 OK\r\nX-Long: "
+    pieces = [head] + [b"v" * FIELD_PIECE_BYTES for _ in range(FIELD_PIECES)]
+    peaks = []
+    for piece in pieces:
+        held.feed(len(piece))
+        tracemalloc.start()  # what was held before is added below
+        parser.feed_data(piece)
+        peaks.append(tracemalloc.get_traced_memory()[1])
+        tracemalloc.stop()
+    earlier_bytes = held.bytes - len(pieces[-1])
+    assert held.bytes < earlier_bytes + peaks[-1] <= held.held_bytes + OBJECT_HEADERS_BYTES
--- a/yewstage/net/clients.py
+++ b/yewstage/net/clients.py
@@ -212,7 +212,7 @@
             self._withdraw_arrival()
         self._process_queue()
         self._request_account.set(self._buffered_request_bytes())
-        if self._parser_input.bytes and not self._is_closing:
+        if self._parser_input.held_bytes and not self._is_closing:
             self._check_parser_memory()
 
     def _check_parser_memory(self) -> None:
@@ -222,7 +222,7 @@
         """
         if self._open_uploads and self._parser_input.has_passed_on:
             return
-        if not self._core.budget.admits(self._parser_input.bytes, more_bytes=0):
+        if not self._core.budget.admits(self._parser_input.held_bytes, more_bytes=0):
             self._core.budget.refused_count += 1
             self._fail_message(503)
             self._process_queue()
@@ -296,7 +296,7 @@
 
     def _buffered_request_bytes(self) -> int:
         """Bytes of requests in memory: being received, queued, or awaiting their answer."""
-        size = self._open_request_bytes + self._pending_requests.bytes + self._parser_input.bytes
+        size = self._open_request_bytes + self._pending_requests.bytes + self._parser_input.held_bytes
         if self._message is None or self._message.upload is not None or self._is_closing:
             return size  # what is streamed is either queued or open
         return size + buffered_bytes(self._message)
--- a/yewstage/net/http1.py
+++ b/yewstage/net/http1.py
@@ -161,7 +161,7 @@
 
     def held_bytes(self) -> int:
         """Return the bytes of the present answer in memory, whether they are parsed or not."""
-        return self._parser_input.bytes + self._kept_header_bytes + len(self._body)
+        return self._parser_input.held_bytes + self._kept_header_bytes + len(self._body)
 
     def max_read_bytes(self) -> int:
         """Return how many bytes to read at once."""
--- a/yewstage/net/link.py
+++ b/yewstage/net/link.py
@@ -238,7 +238,7 @@
         Of a streamed body in very short chunks most is framing, which the parser does not keep.
         """
         if self._stream is not None:
-            held_bytes = self._parser_input.bytes
+            held_bytes = self._parser_input.held_bytes
         else:
             held_bytes = self.held_bytes() if self.has_begun else 0
         if held_bytes == self._memory_account.bytes:
--- a/yewstage/net/parser_input.py
+++ b/yewstage/net/parser_input.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+# A parser joins what it gets of a field to what it has: it holds both for a moment, and leaves gaps.
+BYTES_PER_INPUT_BYTE = 2
+
 
 class ParserInput:
     """An upper bound on the bytes that a parser holds, whatever they are a part of.
@@ -31,6 +34,11 @@
         self._of_this_read -= size
         self.bytes = self._of_this_read
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that the parser takes at most, for all that it may hold of the input."""
+        return self.bytes * BYTES_PER_INPUT_BYTE
+
     def clear(self) -> None:
         """Note that the parser holds nothing, within a body of known length or between two messages."""
         self.bytes = 0
